--- a/src/lovageway/controllers/base.py
+++ b/src/lovageway/controllers/base.py
@@ -1,6 +1,6 @@
 """What every controller offers to the node."""
 
-from lovageway.events import Emit
+from lovageway.events import Emit, TableAnswered
 from lovageway.messages import Message
 
 
@@ -16,6 +16,9 @@
     def tick(self, now: float, emit: Emit) -> None:
         """Do what is due; called several times a second."""
 
+    def on_table(self, event: TableAnswered, now: float, emit: Emit) -> None:
+        """Take an answer of the table service; operation ids tell whose it is."""
+
     def dump(self, now: float) -> dict[str, object]:
         """Return the state as plain values that can be written as JSON."""
         return {}
--- a/src/lovageway/controllers/configuration.py
+++ b/src/lovageway/controllers/configuration.py
@@ -25,6 +25,10 @@
         """Tell whether a configuration has been read."""
         return self.snapshot.version > 0
 
+    def status(self, now: float) -> tuple[int, float]:
+        """Return version and freshness in seconds (-1: unknown), as told to peers."""
+        return self.snapshot.version, -1.0
+
     def tick(self, now: float, emit: Emit) -> None:
         """Read the rows when due."""
         if now >= self._next_read:
--- a/src/lovageway/controllers/membership.py
+++ b/src/lovageway/controllers/membership.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import random
+from collections.abc import Callable
 
 from lovageway.controllers.base import Controller
 from lovageway.events import Emit, ReadVmList, SendPeer
@@ -22,13 +23,18 @@
         This daemon.
     rng
         Source of the ping order.
+    status
+        Returns version and freshness (seconds, -1: unknown) of the configuration; rides on pings.
     """
 
-    def __init__(self, identity: Identity, rng: random.Random) -> None:
+    def __init__(
+        self, identity: Identity, rng: random.Random, status: Callable[[float], tuple[int, float]]
+    ) -> None:
         self.identity = identity
         self.node = f"{identity.vm_id}/{identity.start_id}"
         self.vms: tuple[Vm, ...] = ()
         self._rng = rng
+        self._status = status
         self._heard: dict[str, tuple[Member, float]] = {}
         self._next_list = 0.0
         self._next_ping = 0.0
@@ -55,6 +61,10 @@
         nodes = [member.node for member in self.live() if member.state == "live"] or [self.node]
         return max(nodes, key=lambda node: rendezvous_weight(node, resource))
 
+    def peer_address(self, node: str) -> str | None:
+        """Return the peer address of a live daemon, None when it is not live."""
+        return next((item.peer_address for item in self.live() if item.node == node), None)
+
     def on_vm_list(self, vms: tuple[Vm, ...]) -> None:
         """Take the VM list as read."""
         self.vms = vms
@@ -66,7 +76,7 @@
                 if member.node == sender:
                     self._heard[sender] = (member, now)
         if isinstance(msg, Ping):
-            emit(SendPeer(address, Ack(msg.seq, 0, -1.0, (self.me(),))))
+            emit(SendPeer(address, Ack(msg.seq, *self._status(now), (self.me(),))))
 
     def tick(self, now: float, emit: Emit) -> None:
         """Read the VM list, ping the daemons in it and forget silent ones."""
@@ -78,7 +88,9 @@
             self._seq += 1
             for vm in self.vms:
                 if vm.role == "entry" and vm.vm_id != self.identity.vm_id:
-                    emit(SendPeer(vm.peer_address, Ping(self._seq, 0, -1.0, (self.me(),))))
+                    emit(
+                        SendPeer(vm.peer_address, Ping(self._seq, *self._status(now), (self.me(),)))
+                    )
         silent = [node for node, (_, at) in self._heard.items() if now - at > PEER_TIMEOUT_S]
         for node in silent:
             del self._heard[node]
--- a/src/lovageway/node.py
+++ b/src/lovageway/node.py
@@ -51,8 +51,8 @@
     """
 
     def __init__(self, identity: Identity, rng: random.Random) -> None:
-        self.membership = Membership(identity, rng)
         self.configuration = Configuration()
+        self.membership = Membership(identity, rng, self.configuration.status)
         self.backends = Backends(self.membership, self.configuration)
         self._controllers: dict[str, Controller] = {
             "membership": self.membership,
@@ -169,7 +169,8 @@
 
     @_on.register
     def _(self, event: TableAnswered, now: float) -> None:
-        self.configuration.on_table(event, now, self._emit)
+        for item in self._controllers.values():
+            item.on_table(event, now, self._emit)
 
     @_on.register
     def _(self, event: StopRequested, now: float) -> None:
--- /dev/null
+++ b/tests/proxy.py
@@ -0,0 +1,92 @@
+"""A small TCP proxy that injects faults between two processes on loopback."""
+
+import contextlib
+import socket
+import threading
+import time
+
+CHUNK = 65536
+
+
+class Proxy:
+    """Forwards connections to `target`; `mode` may change at any moment.
+
+    Modes: "pass"; "cut" closes every connection and refuses new ones; "freeze" holds every byte
+    until the mode changes; "lose_answers" forwards what the client sends, waits for the first byte
+    of the answer and closes the connection in its place. `delay_s` delays every chunk.
+    """
+
+    def __init__(self, target):
+        host, _, port = target.rpartition(":")
+        self.target = (host, int(port))
+        self.mode = "pass"
+        self.delay_s = 0.0
+        self.changed = threading.Condition()
+        self.open = set()
+        self.bytes_to_target = 0
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = "{}:{}".format(*self.listener.getsockname())
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.listener.close()
+        self.set_mode("cut")
+
+    def set_mode(self, mode):
+        """Change the mode for every connection at once."""
+        with self.changed:
+            self.mode = mode
+            if mode == "cut":
+                for conn in self.open:
+                    with contextlib.suppress(OSError):
+                        conn.shutdown(socket.SHUT_RDWR)
+            self.changed.notify_all()
+
+    def cut_now(self):
+        """Close the connections that are open and let new ones pass."""
+        self.set_mode("cut")
+        self.set_mode("pass")
+
+    def _accept(self):
+        with contextlib.suppress(OSError):
+            while True:
+                client, _ = self.listener.accept()
+                threading.Thread(target=self._connect, args=(client,), daemon=True).start()
+
+    def _connect(self, client):
+        with client:
+            if self.mode == "cut":
+                return
+            try:
+                server = socket.create_connection(self.target, timeout=5)
+            except OSError:
+                return
+            server.settimeout(None)
+            with server:
+                with self.changed:
+                    self.open |= {client, server}
+                back = threading.Thread(target=self._pump, args=(server, client, True), daemon=True)
+                back.start()
+                self._pump(client, server, False)
+                back.join()
+                with self.changed:
+                    self.open -= {client, server}
+
+    def _pump(self, source, sink, answers):
+        with contextlib.suppress(OSError):
+            while data := source.recv(CHUNK):
+                with self.changed:
+                    self.changed.wait_for(lambda: self.mode != "freeze")
+                if self.mode == "cut" or (answers and self.mode == "lose_answers"):
+                    break
+                if self.delay_s:
+                    time.sleep(self.delay_s)
+                if not answers:
+                    self.bytes_to_target += len(data)
+                sink.sendall(data)
+        for conn in (source, sink):
+            with contextlib.suppress(OSError):
+                conn.shutdown(socket.SHUT_RDWR)
