Resume streams through link failures and through other daemons

Cause: a cut link, a silent link or a dead entry VM lost the rest of a stream, and the generation of a caller that had gone ran on.

The first event of a stream carries a signed resume token that any daemon accepts. Requests that cheroot refuses by itself get a numbered JSON refusal.

Ruled out: one token event to the node for each token (the node's lock would be taken 14,000 times a second at the target size; reports are sent for each 32 tokens or 0.5 s).

--- a/src/lovageway/adapters/operators.py
+++ b/src/lovageway/adapters/operators.py
@@ -7,6 +7,7 @@
 
 from prometheus_client import CollectorRegistry, generate_latest
 
+from lovageway.node import Node
 from lovageway.runtime import Runtime
 
 
@@ -42,9 +43,10 @@
                 start_response("200 OK", [("Content-Type", "text/plain; version=0.0.4")])
                 return [generate_latest(self._registry)]
             case "GET", ["admin", "dump"]:
-                return _answer(start_response, "200 OK", self._runtime.dump())
+                return _answer(start_response, "200 OK", self._runtime.read(Node.dump))
             case "GET", ["admin", "explain", request_id]:
-                return _answer(start_response, "200 OK", self._runtime.explain(request_id))
+                steps = self._runtime.read(lambda node, now: node.explain(request_id))
+                return _answer(start_response, "200 OK", steps)
         return _answer(start_response, "404 Not Found", {"error": "no such page"})
 
     def _allowed(self, header: str) -> bool:
--- a/src/lovageway/daemon.py
+++ b/src/lovageway/daemon.py
@@ -13,13 +13,15 @@
 
 import structlog
 
-from lovageway.adapters.callers import Callers, build_server
+from lovageway.adapters._http import build_server
+from lovageway.adapters.callers import Callers
 from lovageway.adapters.engines import Engines
 from lovageway.adapters.operators import Operators
 from lovageway.adapters.peers import Peers
 from lovageway.adapters.services import PlainServices
 from lovageway.adapters.table import Table
 from lovageway.adapters.vmlist import VmList
+from lovageway.codes import Code
 from lovageway.events import (
     CancelGeneration,
     Count,
@@ -94,8 +96,10 @@
     def _listen(self, start_id: str) -> None:
         """Bind the listeners, build the node and print the addresses as one line of JSON."""
         daemon = self._cfg.daemon
-        callers = build_server(None, *_host_port(daemon.listen), daemon.worker_threads)
-        operators = build_server(None, *_host_port(daemon.operator_listen), 8)
+        callers = build_server(
+            *_host_port(daemon.listen), daemon.worker_threads, self._count_refusal
+        )
+        operators = build_server(*_host_port(daemon.operator_listen), 8, self._count_refusal)
         self._servers = [callers, operators]
         for server in self._servers:
             server.prepare()
@@ -103,7 +107,10 @@
         ident = Identity(daemon.vm_id, start_id, daemon.zone, address, self._peers.address)
         self._runtime = Runtime(Node(ident, random.Random()), time.monotonic, self._perform)
         operator_keys = [read_secret(path) for path in self._cfg.keys.operator_key_files]
-        callers.wsgi_app = Callers(self._runtime, self._engines, self._services)
+        resume_keys = [read_secret(path) for path in self._cfg.keys.resume_key_files]
+        callers.wsgi_app = Callers(
+            self._runtime, self._engines, self._services, resume_keys, self._count_refusal
+        )
         operators.wsgi_app = Operators(self._runtime, operator_keys, self._metrics.registry)
         for server in self._servers:
             threading.Thread(target=server.serve, daemon=True).start()
@@ -123,6 +130,9 @@
     def _receive(self, sender: str, address: str, message: Message) -> None:
         self._runtime.submit(PeerMessage(sender, address, message))
 
+    def _count_refusal(self, code: Code) -> None:
+        self._metrics.add(Count("refusals", (str(int(code)),)))
+
     def _peer_error(self, reason: str) -> None:
         self._metrics.add(Count("peer_errors", (reason,)))
 
--- a/src/lovageway/events.py
+++ b/src/lovageway/events.py
@@ -10,6 +10,7 @@
 from lovageway.codes import Refusal
 from lovageway.messages import Message
 from lovageway.model import Change, LoadReport, Vm
+from lovageway.resume import ResumeToken
 
 # ---- events -------------------------------------------------------------------------------------
 
@@ -39,6 +40,8 @@
     prefix: str = ""  # hash of the prompt's beginning, "" when there is none
     request_class: str | None = None
     idempotency_key: str | None = None
+    whole: bool = False  # the caller wants one body, so nothing is delivered before the end
+    resume: ResumeToken | None = None
 
 
 class RequestArrived(NamedTuple):
@@ -47,18 +50,6 @@
     req: Request
 
 
-class ResumeArrived(NamedTuple):
-    """A caller that holds a resume token carries on a stream that may have begun elsewhere."""
-
-    request_id: str
-    api_key: str
-    account: str
-    service: str
-    server_id: str
-    start_id: str
-    generation: str
-
-
 class AttemptStarted(NamedTuple):
     """A backend server accepted the attempt under the given start identity."""
 
@@ -95,9 +86,10 @@
 
 
 class CallerGone(NamedTuple):
-    """The caller closed its connection."""
+    """The caller closed its connection; `generation` can still be resumed when it is not empty."""
 
     request_id: str
+    generation: str = ""
 
 
 class PeerMessage(NamedTuple):
@@ -157,7 +149,6 @@
 Event = (
     Tick
     | RequestArrived
-    | ResumeArrived
     | AttemptStarted
     | TokensDelivered
     | AttemptFailed
@@ -258,8 +249,6 @@
     address: str
     start_id: str
     generation: str
-    account: str
-    service: str
     timeout_s: float
 
 
--- a/src/lovageway/exchange.py
+++ b/src/lovageway/exchange.py
@@ -1,10 +1,11 @@
 """Carries one request on its own thread: carries out the node's effects and reports back."""
 
+import time
 from collections.abc import Iterator
 from functools import singledispatchmethod
 from typing import NamedTuple
 
-from lovageway.adapters.engines import EngineError, Engines, TokenStream
+from lovageway.adapters.engines import EngineError, Engines, Token, TokenStream
 from lovageway.adapters.services import PlainServices
 from lovageway.codes import Refusal
 from lovageway.events import (
@@ -12,28 +13,31 @@
     AttemptFinished,
     AttemptStarted,
     CallerGone,
-    Event,
     Finish,
     Refuse,
     Replay,
     Request,
     RequestArrived,
     RequestEffect,
+    ResumeAttempt,
     StartAttempt,
     TokensDelivered,
 )
+from lovageway.model import generation_name
 from lovageway.runtime import Runtime
 
-MAX_RESUMES = 3  # consecutive reconnects of a stream that bring no token
+MAX_RESUMES = 3  # consecutive connections of a stream that bring no token
+REPORT_TOKENS = 32  # one event for each token would take the node's lock 14,000 times a second
+REPORT_INTERVAL_S = 0.5
 PRIORITIES = {"interactive": 0, "batch": 10}
 
 
 class Opened(NamedTuple):
     """The engine accepted the generation."""
 
-    generation: str
     server_id: str
     start_id: str
+    generation: str
 
 
 class Tokens(NamedTuple):
@@ -45,7 +49,7 @@
 
 
 class Idle(NamedTuple):
-    """Nothing came for a while; gives the caller's side a chance to see a closed connection."""
+    """The link to the engine is being replaced; writing this finds a caller that has gone."""
 
 
 class Answer(NamedTuple):
@@ -69,6 +73,15 @@
 Part = Opened | Tokens | Idle | Answer | Refused | Ended
 
 
+class _Generation(NamedTuple):
+    request_id: str
+    attempt: int
+    address: str
+    name: str
+    start_id: str
+    whole: bool
+
+
 class Exchange:
     """One request from arrival to its end.
 
@@ -82,6 +95,8 @@
         The request.
     body
         Body for the backend server: a completion's fields, or the bytes of a plain call.
+    position
+        Offset of the first token that the caller of a resumed stream does not have.
     """
 
     def __init__(
@@ -90,14 +105,17 @@
         engines: Engines,
         services: PlainServices,
         req: Request,
-        body: dict[str, object] | bytes,
+        body: dict[str, object] | bytes = b"",
+        position: int = 0,
     ) -> None:
         self._runtime = runtime
         self._engines = engines
         self._services = services
         self._req = req
         self._body = body
-        self._delivered = 0
+        self._position = position
+        self._delivered = position
+        self._resumable = ""  # generation that the caller could come back to
         self._open = True
 
     def parts(self) -> Iterator[Part]:
@@ -110,12 +128,9 @@
                 assert not hasattr(effect, "op_id")
                 yield from self._perform(effect)
         finally:
-            if self._open:
-                self._report(CallerGone(self._req.request_id))
             self._runtime.close(self._req.request_id)
-
-    def _report(self, event: Event) -> None:
-        self._runtime.submit(event)
+            if self._open:
+                self._runtime.submit(CallerGone(self._req.request_id, self._resumable))
 
     @singledispatchmethod
     def _perform(self, effect: RequestEffect) -> Iterator[Part]:
@@ -144,10 +159,29 @@
             else:
                 yield from self._generate(effect, self._body)
         except EngineError as exc:
-            failed = AttemptFailed(
-                effect.request_id, effect.attempt, exc.failure, self._delivered, exc.start_id
-            )
-            self._report(failed)
+            self._fail(effect, exc)
+
+    @_perform.register
+    def _(self, effect: ResumeAttempt) -> Iterator[Part]:
+        generation = _Generation(
+            effect.request_id,
+            effect.attempt,
+            effect.address,
+            effect.generation,
+            effect.start_id,
+            False,
+        )
+        self._resumable = effect.generation
+        try:
+            yield from self._deliver(generation, None)
+        except EngineError as exc:
+            self._fail(effect, exc)
+
+    def _fail(self, effect: StartAttempt | ResumeAttempt, exc: EngineError) -> None:
+        failed = AttemptFailed(
+            effect.request_id, effect.attempt, exc.failure, self._delivered, exc.start_id
+        )
+        self._runtime.submit(failed)
 
     def _call(self, effect: StartAttempt, body: bytes) -> Iterator[Part]:
         answer = self._services.call(
@@ -158,76 +192,116 @@
             self._req.idempotency_key or "",
             effect.timeout_s,
         )
-        self._report(AttemptStarted(effect.request_id, effect.attempt, answer.start_id))
+        self._runtime.submit(AttemptStarted(effect.request_id, effect.attempt, answer.start_id))
         text = answer.body.decode(errors="replace")
-        self._report(AttemptFinished(effect.request_id, effect.attempt, 0, text))
+        self._runtime.submit(AttemptFinished(effect.request_id, effect.attempt, 0, text))
         yield Answer(answer.body)
 
     def _generate(self, effect: StartAttempt, body: dict[str, object]) -> Iterator[Part]:
-        generation = f"{effect.request_id}-{effect.attempt}"
+        name = generation_name(effect.request_id, effect.attempt)
         fields = {**body, "stream": True, "priority": PRIORITIES[effect.request_class]}
-        stream = self._engines.start(effect.address, generation, fields)
-        self._report(AttemptStarted(effect.request_id, effect.attempt, stream.start_id))
-        yield Opened(generation, effect.server_id, stream.start_id)
-        held: list[Part] = []
+        generation = _Generation(
+            effect.request_id, effect.attempt, effect.address, name, effect.start_id, effect.whole
+        )
+        try:
+            stream = self._engines.start(effect.address, name, fields)
+        except EngineError as exc:
+            if exc.failure not in ("lost", "stalled"):
+                raise
+            # The engine may have started it before the link failed.
+            stream = self._reconnect(generation, 0)
+        generation = generation._replace(start_id=stream.start_id)
+        self._runtime.submit(AttemptStarted(effect.request_id, effect.attempt, stream.start_id))
+        if effect.whole:
+            yield from self._deliver_whole(generation, stream)
+            return
+        self._resumable = name
+        yield Opened(effect.server_id, stream.start_id, name)
+        yield from self._deliver(generation, stream)
+
+    def _deliver(self, generation: _Generation, stream: TokenStream | None) -> Iterator[Part]:
+        for part in self._follow(generation, stream):
+            if isinstance(part, Tokens):
+                self._delivered = part.offset + len(part.texts)
+            yield part
+        self._end(generation)
+        yield Ended(self._delivered)
+
+    def _deliver_whole(self, generation: _Generation, stream: TokenStream) -> Iterator[Part]:
         finished = False
         try:
-            for part in self._follow(effect, generation, stream):
-                if effect.whole and isinstance(part, Tokens):
-                    held.append(part)
-                else:
-                    yield part
+            # Nothing is delivered before the end, so another attempt can hide a failure.
+            held = [part for part in self._follow(generation, stream) if not isinstance(part, Idle)]
             finished = True
         finally:
             if not finished:
-                self._engines.cancel(effect.address, generation)
+                self._engines.cancel(generation.address, generation.name)
+        output = sum(len(part.texts) for part in held if isinstance(part, Tokens))
+        self._end(generation)
         yield from held
-        self._report(AttemptFinished(effect.request_id, effect.attempt, self._delivered))
-        yield Ended(self._delivered)
+        yield Ended(output)
+
+    def _end(self, generation: _Generation) -> None:
+        self._resumable = ""
+        finished = AttemptFinished(generation.request_id, generation.attempt, self._delivered)
+        self._runtime.submit(finished)
 
-    def _follow(self, effect: StartAttempt, generation: str, stream: TokenStream) -> Iterator[Part]:
+    def _follow(self, generation: _Generation, stream: TokenStream | None) -> Iterator[Part]:
         """Yield each token once and in order, resuming the generation when the link fails."""
-        start_id, failures, position = stream.start_id, 0, 0
+        position, failures = self._position, 0
+        report = _Report(self._runtime, generation.request_id, position)
         while True:
             try:
+                if stream is None:
+                    stream = self._reconnect(generation, position)
                 for batch in stream:
-                    fresh = [token for token in batch if token.offset >= position]
-                    if not fresh:
+                    tokens = _next_tokens(batch, position, generation.start_id)
+                    if tokens is None:
                         continue
-                    if fresh[0].offset != position:
-                        raise EngineError("lost", "gap in the stream", start_id)
-                    position = fresh[-1].offset + 1
-                    failures = 0
-                    reason = fresh[-1].finish_reason
-                    yield Tokens(fresh[0].offset, tuple(token.text for token in fresh), reason)
-                    if not effect.whole:
-                        self._delivered = position
-                    self._report(TokensDelivered(effect.request_id, len(fresh), position))
-                    if reason is not None:
+                    position, failures = tokens.offset + len(tokens.texts), 0
+                    yield tokens
+                    report.add(position, tokens.finish_reason is not None)
+                    if tokens.finish_reason is not None:
                         stream.close()
                         return
-                raise EngineError("lost", "stream ended early", start_id)
+                raise EngineError("lost", "stream ended early", generation.start_id)
             except EngineError as exc:
                 failures += 1
                 if exc.failure in ("gone", "error") or failures > MAX_RESUMES:
                     raise
+                stream = None
                 yield Idle()
-                stream = self._reconnect(effect, generation, position, start_id)
 
-    def _reconnect(
-        self, effect: StartAttempt, generation: str, position: int, start_id: str
-    ) -> TokenStream:
-        error = EngineError("lost", "no try", start_id)
-        for _ in range(MAX_RESUMES):
-            try:
-                stream = self._engines.resume(effect.address, generation, position)
-            except EngineError as exc:
-                error = exc
-                if exc.failure == "gone":
-                    raise
-                continue
-            if stream.start_id != start_id:
-                stream.close()
-                raise EngineError("gone", "the engine has started anew", stream.start_id)
-            return stream
-        raise error
+    def _reconnect(self, generation: _Generation, position: int) -> TokenStream:
+        stream = self._engines.resume(generation.address, generation.name, position)
+        if generation.start_id and stream.start_id != generation.start_id:
+            stream.close()
+            raise EngineError("gone", "the engine has started anew", stream.start_id)
+        return stream
+
+
+class _Report:
+    """Reports delivered tokens to the node in lots."""
+
+    def __init__(self, runtime: Runtime, request_id: str, position: int) -> None:
+        self._runtime = runtime
+        self._request_id = request_id
+        self._reported = position
+        self._at = time.monotonic()
+
+    def add(self, position: int, last: bool) -> None:
+        """Report when enough tokens or time have passed since the last report."""
+        now, count = time.monotonic(), position - self._reported
+        if last or count >= REPORT_TOKENS or now - self._at >= REPORT_INTERVAL_S:
+            self._runtime.submit(TokensDelivered(self._request_id, count, position))
+            self._reported, self._at = position, now
+
+
+def _next_tokens(batch: tuple[Token, ...], position: int, start_id: str) -> Tokens | None:
+    fresh = [token for token in batch if token.offset >= position]
+    if not fresh:
+        return None
+    if [token.offset for token in fresh] != list(range(position, position + len(fresh))):
+        raise EngineError("lost", "gap in the stream", start_id)
+    texts = tuple(token.text for token in fresh)
+    return Tokens(position, texts, fresh[-1].finish_reason)
--- a/src/lovageway/filters/attempt.py
+++ b/src/lovageway/filters/attempt.py
@@ -28,7 +28,7 @@
                 ctx.contract.account,
                 ctx.service.name,
                 ctx.request_class,
-                ctx.contract.delivery == "whole",
+                ctx.contract.delivery == "whole" or ctx.req.whole,
                 ctx.service.timeout_s,
             )
         )
--- /dev/null
+++ b/src/lovageway/filters/resumption.py
@@ -0,0 +1,44 @@
+"""Finds the running generation that a resume token names."""
+
+from expression import Ok
+
+from lovageway.chain import Context, Filter, Verdict, stop
+from lovageway.codes import Code, Refusal
+from lovageway.controllers.membership import Membership
+from lovageway.controllers.streams import Streams
+from lovageway.events import Emit, ResumeAttempt
+
+
+class Resumption(Filter):
+    """Last filter of the chain for resumed streams; takes no capacity, the generation has it."""
+
+    def __init__(self, membership: Membership, streams: Streams) -> None:
+        self._membership = membership
+        self._streams = streams
+
+    def admit(self, ctx: Context, now: float, emit: Emit) -> Verdict:
+        """Start to read the generation, or refuse when its server is not listed any more."""
+        token = ctx.req.resume
+        assert token is not None
+        assert ctx.contract is not None
+        assert ctx.service is not None
+        if token.account != ctx.contract.account:
+            return stop(Refusal(Code.BAD_RESUME_TOKEN))
+        address = next(
+            (vm.address for vm in self._membership.vms if vm.vm_id == token.server_id), None
+        )
+        if address is None:
+            return stop(Refusal(Code.GENERATION_LOST, f"Server {token.server_id} has left."))
+        self._streams.resumed(token.generation, token.node, now, emit)
+        emit(
+            ResumeAttempt(
+                ctx.req.request_id,
+                ctx.attempt,
+                token.server_id,
+                address,
+                token.start_id,
+                token.generation,
+                ctx.service.timeout_s,
+            )
+        )
+        return Ok(ctx._replace(server_id=token.server_id, start_id=token.start_id))
--- a/src/lovageway/messages.py
+++ b/src/lovageway/messages.py
@@ -130,6 +130,12 @@
     start_id: str  # of the run that died
 
 
+class StreamResumed(NamedTuple):
+    """The caller of a generation that the receiver started reads it through the sender now."""
+
+    generation: str
+
+
 Message = (
     Ping
     | Ack
@@ -142,6 +148,7 @@
     | ShareGrant
     | ServerNews
     | PoisonMark
+    | StreamResumed
 )
 
 KINDS: tuple[type[Message], ...] = (
@@ -156,6 +163,7 @@
     ShareGrant,
     ServerNews,
     PoisonMark,
+    StreamResumed,
 )
 _NUMBERS = {kind: number for number, kind in enumerate(KINDS)}
 
--- a/src/lovageway/metrics.py
+++ b/src/lovageway/metrics.py
@@ -8,6 +8,8 @@
     "requests": ("Requests received.", ("service",)),
     "attempts_failed": ("Attempts that ended without a whole answer.", ("failure",)),
     "callers_gone": ("Requests whose caller closed the connection early.", ()),
+    "generations_cancelled": ("Generations cancelled after their caller had gone.", ()),
+    "refusals": ("Refusals sent to callers.", ("code",)),
     "stops": ("Planned stops begun.", ()),
     "peer_errors": ("Peer connections dropped or messages lost.", ("reason",)),
 }
--- a/src/lovageway/model.py
+++ b/src/lovageway/model.py
@@ -102,3 +102,8 @@
 
 
 EMPTY_SNAPSHOT = Snapshot(0, {}, {}, {}, {})
+
+
+def generation_name(request_id: str, attempt: int) -> str:
+    """Return the generation id of an attempt."""
+    return f"{request_id}-{attempt}"
--- a/src/lovageway/node.py
+++ b/src/lovageway/node.py
@@ -5,16 +5,18 @@
 from functools import singledispatchmethod
 
 from lovageway.chain import Chain, Context
-from lovageway.codes import Refusal
+from lovageway.codes import Code, Refusal
 from lovageway.controllers.backends import Backends
 from lovageway.controllers.base import Controller
 from lovageway.controllers.configuration import Configuration
 from lovageway.controllers.membership import Membership
+from lovageway.controllers.streams import Streams
 from lovageway.events import (
     AttemptFailed,
     AttemptFinished,
     AttemptStarted,
     CallerGone,
+    CancelGeneration,
     Count,
     Effect,
     Event,
@@ -33,8 +35,9 @@
 from lovageway.filters.attempt import Attempt
 from lovageway.filters.authenticate import Authenticate
 from lovageway.filters.readiness import Readiness
+from lovageway.filters.resumption import Resumption
 from lovageway.filters.routing import Routing
-from lovageway.model import Identity
+from lovageway.model import Identity, generation_name
 
 HISTORY_REQUESTS = 1000
 
@@ -59,11 +62,18 @@
             "configuration": self.configuration,
             "backends": self.backends,
         }
+        self.streams = Streams(self.membership)
+        self._controllers["streams"] = self.streams
         self._attempt = Attempt()
+        self.authenticate = Authenticate(self.configuration)
+        readiness = Readiness(self.configuration)
+        self._resumes = Chain(
+            [readiness, self.authenticate, Resumption(self.membership, self.streams)]
+        )
         self.chain = Chain(
             [
-                Readiness(self.configuration),
-                Authenticate(self.configuration),
+                readiness,
+                self.authenticate,
                 Routing(self.backends),
                 self._attempt,
             ]
@@ -112,12 +122,15 @@
         for item in self._controllers.values():
             item.tick(now, self._emit)
         self.chain.poll(now, self._emit)
+        self._release_ended(now)
         self._finish_stop()
 
     @_on.register
     def _(self, event: RequestArrived, now: float) -> None:
         self._emit(Count("requests", (event.req.service,)))
-        self.chain.enter(Context(event.req, arrived=now), now, self._emit)
+        chain = self._resumes if event.req.resume else self.chain
+        chain.enter(Context(event.req, arrived=now), now, self._emit)
+        self._release_ended(now)
 
     @_on.register
     def _(self, event: AttemptStarted, now: float) -> None:
@@ -131,12 +144,18 @@
 
     @_on.register
     def _(self, event: AttemptFailed, now: float) -> None:
+        if self._resumes.get(event.request_id):
+            code = Code.GENERATION_LOST if event.failure == "gone" else Code.STREAM_LOST
+            self._resumes.refuse(event.request_id, Refusal(code), now, self._emit)
         ctx = self.chain.get(event.request_id)
         if ctx is None or ctx.attempt != event.attempt:
             return
         self._emit(Count("attempts_failed", (event.failure,)))
         outcome = self._attempt.failed(ctx, event)
         if outcome.is_ok():
+            if ctx.service is not None and ctx.service.kind == "engine":
+                name = generation_name(ctx.req.request_id, ctx.attempt)
+                self._emit(CancelGeneration(ctx.server_id, ctx.address, name))
             self.chain.retry(outcome.ok, Routing, now, self._emit)
         else:
             refusal: Refusal = outcome.error
@@ -144,6 +163,7 @@
 
     @_on.register
     def _(self, event: AttemptFinished, now: float) -> None:
+        self._resumes.finish(event.request_id, now, self._emit)
         ctx = self.chain.get(event.request_id)
         if ctx is not None and ctx.attempt == event.attempt:
             self.chain.finish(event.request_id, now, self._emit)
@@ -152,12 +172,22 @@
     @_on.register
     def _(self, event: CallerGone, now: float) -> None:
         self._emit(Count("callers_gone"))
-        self.chain.finish(event.request_id, now, self._emit)
+        self._resumes.finish(event.request_id, now, self._emit)
+        ctx = self.chain.get(event.request_id)
+        if ctx is not None and event.generation:
+            self.streams.park(event.generation, event.request_id, ctx.server_id, ctx.address, now)
+        else:
+            self.chain.finish(event.request_id, now, self._emit)
+
+    def _release_ended(self, now: float) -> None:
+        for request_id in self.streams.take_ended():
+            self.chain.finish(request_id, now, self._emit)
 
     @_on.register
     def _(self, event: PeerMessage, now: float) -> None:
         for item in self._controllers.values():
             item.on_message(event.sender, event.sender_address, event.message, now, self._emit)
+        self._release_ended(now)
 
     @_on.register
     def _(self, event: VmListRead, now: float) -> None:
@@ -179,5 +209,5 @@
         self._finish_stop()
 
     def _finish_stop(self) -> None:
-        if self._stopping and not len(self.chain):
+        if self._stopping and not len(self.chain) and not len(self._resumes):
             self._emit(Stopped())
--- a/src/lovageway/runtime.py
+++ b/src/lovageway/runtime.py
@@ -3,6 +3,7 @@
 import queue
 import threading
 from collections.abc import Callable
+from typing import TypeVar
 
 from lovageway.events import (
     ApplyDone,
@@ -17,6 +18,7 @@
 )
 from lovageway.node import Node
 
+T = TypeVar("T")
 Mailbox = queue.SimpleQueue[RequestEffect | ApplyDone]
 
 
@@ -60,15 +62,10 @@
             for effect in self._node.handle(event, self._clock()):
                 self._dispatch(effect)
 
-    def dump(self) -> dict[str, object]:
-        """Return the node's state."""
+    def read(self, look: Callable[[Node, float], T]) -> T:
+        """Return what `look(node, now)` finds; it must not change the node."""
         with self._lock:
-            return self._node.dump(self._clock())
-
-    def explain(self, request_id: str) -> list[dict[str, object]]:
-        """Return what was decided about a recent request."""
-        with self._lock:
-            return self._node.explain(request_id)
+            return look(self._node, self._clock())
 
     def _dispatch(self, effect: Effect) -> None:
         match effect:
--- a/src/lovageway/settings.py
+++ b/src/lovageway/settings.py
@@ -40,6 +40,9 @@
     peer_key_files: tuple[Path, ...] = Field(
         min_length=1, max_length=2, description="Keys shared by all daemons; two while rotating."
     )
+    resume_key_files: tuple[Path, ...] = Field(
+        min_length=1, max_length=2, description="Keys of resume tokens, the same on all daemons."
+    )
     operator_key_files: tuple[Path, ...] = Field(
         min_length=1, max_length=2, description="Keys that operators may use."
     )
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -72,6 +72,7 @@
         self.command = [binary] if binary else [sys.executable, "-m", "lovageway"]
         self.operator_key = self._secret("operator.key")
         self._secret("peer.key")
+        self._secret("resume.key")
         self.log = (self.dir / "log").open("wb")
         self.processes = []
         self.daemons = {}
@@ -126,6 +127,7 @@
         lines += ["[platform]", f'table_url = "http://{self.platform.address}"']
         lines += [f'vm_list_url = "http://{self.platform.address}/v1/vms"', "[keys]"]
         lines += [f'peer_key_files = ["{self.dir}/peer.key"]']
+        lines += [f'resume_key_files = ["{self.dir}/resume.key"]']
         lines += [f'operator_key_files = ["{self.dir}/operator.key"]']
         path.write_text("\n".join(lines) + "\n")
         process = self._start([*self.command, "serve", "--config", str(path)])
--- /dev/null
+++ b/tests/test_exchange.py
@@ -0,0 +1,214 @@
+"""Streams keep their order and their generation under cuts, freezes and deaths (real processes)."""
+
+import json
+import signal
+import threading
+import unittest
+
+from tests.builders import contract_row, jar_returns_rows
+from tests.fleet import Fleet, http, wait_for
+from tests.proxy import Proxy
+
+KEY = {"Authorization": "Bearer clerks-key"}
+ZONE = "khangai"
+
+
+class Stream:
+    """One streamed completion as a caller sees it."""
+
+    def __init__(self, address, path, body, headers=()):
+        url = f"http://{address}{path}"
+        headers = {**KEY, **dict(headers)}
+        self.resp = http.request("POST", url, json=body, headers=headers, preload_content=False)
+        self.text, self.error, self.token, self.last_id = "", None, None, None
+        self.done = False
+        self.lines = iter(self.resp)
+
+    def read(self, tokens=None):
+        """Read until the end, or until `tokens` tokens have come."""
+        for line in self.lines:
+            if line.startswith(b"id: "):
+                self.last_id = line[4:].decode().strip()
+            elif line.startswith(b"data: [DONE]"):
+                self.done = True
+            elif line.startswith(b"data: "):
+                self._event(json.loads(line[6:]))
+            if tokens is not None and len(self.words()) >= tokens:
+                break
+        return self
+
+    def _event(self, event):
+        self.error = event.get("error", self.error)
+        self.token = event.get("resume_token", self.token)
+        if "choices" in event:
+            self.text += event["choices"][0]["text"]
+
+    def words(self):
+        return self.text.split()
+
+    def offsets(self):
+        return [int(word.rpartition(":")[2]) for word in self.words()]
+
+    def generations(self):
+        return {word.rpartition(":")[0] for word in self.words()}
+
+
+class Exchange(unittest.TestCase):
+    def setUp(self):
+        self.fleet = self.enterContext(Fleet())
+        self.engines = {}
+        self.proxies = {}
+
+    def start(self, engines=1, daemons=1, **contract):
+        for number in range(engines):
+            name = f"crock-{number}"
+            engine = self.fleet.backend(name, "crock-llm", ZONE, "engine", "--step-ms", "10")
+            proxy = self.enterContext(Proxy(engine.address))
+            self.engines[name], self.proxies[name] = engine, proxy
+            self.fleet.vms[name]["address"] = proxy.address
+        for number in range(daemons):
+            self.fleet.daemon(f"entry-{number}", ZONE)
+        rows = jar_returns_rows()
+        rows["contract/clerks"] = contract_row("clerks", **contract)
+        self.fleet.write_configuration(rows)
+        self.fleet.publish_vms()
+        self.fleet.wait_ready()
+        return [process.address for process in self.fleet.daemons.values()]
+
+    def ask(self, address, tokens, text="Route summary", stream=True):
+        body = {"model": "crock-llm", "prompt": f"{text}, len={tokens}", "stream": stream}
+        return Stream(address, "/v1/completions", body)
+
+    def assert_whole(self, stream, tokens):
+        self.assertIsNone(stream.error)
+        self.assertEqual(stream.offsets(), list(range(tokens)))
+        self.assertEqual(len(stream.generations()), 1)
+
+    def running(self, name):
+        return json.loads(http.request("GET", f"http://{self.engines[name].address}/load").data)
+
+    def test_a_cut_link_to_the_engine_is_resumed_without_loss_or_repetition(self):
+        # Guards against tokens lost or repeated when a stream is taken up again.
+        (address,) = self.start()
+        stream = self.ask(address, 200)
+        for part in (40, 80, 120):
+            stream.read(part)
+            self.proxies["crock-0"].cut_now()
+        self.assert_whole(stream.read(), 200)
+
+    def test_a_frozen_link_is_replaced_after_the_idle_timeout(self):
+        # Guards against a stream that hangs for as long as a link is silent.
+        (address,) = self.start()
+        stream = self.ask(address, 300).read(20)
+        proxy = self.proxies["crock-0"]
+        proxy.set_mode("freeze")
+        thawed = threading.Timer(5.0, proxy.set_mode, ["pass"])
+        thawed.start()
+        self.addCleanup(thawed.cancel)
+        self.assert_whole(stream.read(), 300)
+
+    def test_a_dead_entry_vm_is_replaced_by_another_that_reads_the_same_generation(self):
+        # Guards against a summary lost with the daemon that carried it.
+        first, second = self.start(daemons=2)
+        stream = self.ask(first, 300).read(50)
+        self.fleet.daemons["entry-0"].kill()
+        body = {"resume_token": stream.token}
+        again = Stream(
+            second, "/v1/streams/resume", body, {"Last-Event-ID": stream.last_id}.items()
+        )
+        again.read()
+        self.assertIsNone(again.error)
+        self.assertEqual(stream.offsets() + again.offsets(), list(range(300)))
+        self.assertEqual(again.generations(), stream.generations())
+
+    def test_a_caller_that_resumes_elsewhere_is_not_cut_by_the_first_daemon(self):
+        # Guards against the first daemon cancelling a generation that another one carries on.
+        first, second = self.start(daemons=2)
+        stream = self.ask(first, 900).read(50)
+        stream.resp.close()
+        body = {"resume_token": stream.token}
+        again = Stream(
+            second, "/v1/streams/resume", body, {"Last-Event-ID": stream.last_id}.items()
+        )
+        again.read()
+        self.assertIsNone(again.error)
+        self.assertEqual(stream.offsets() + again.offsets(), list(range(900)))
+
+    def test_a_resume_token_of_another_account_or_an_altered_one_is_refused(self):
+        # Guards against a caller that reads the answer to somebody else's request.
+        (address,) = self.start()
+        stream = self.ask(address, 100).read(5)
+        headers = {"Authorization": "Bearer counter-key"}.items()
+        other = Stream(address, "/v1/streams/resume", {"resume_token": stream.token}, headers)
+        self.assertEqual(json.loads(other.resp.data)["error"]["code"], 4008)
+        altered = Stream(address, "/v1/streams/resume", {"resume_token": stream.token[:-2] + "xx"})
+        self.assertEqual(json.loads(altered.resp.data)["error"]["code"], 4008)
+
+    def test_a_dead_engine_ends_a_started_stream_with_a_numbered_refusal(self):
+        # Guards against an end that looks complete, and against tokens of a second generation.
+        (address,) = self.start()
+        stream = self.ask(address, 500).read(30)
+        self.engines["crock-0"].kill()
+        stream.read()
+        self.assertIn(stream.error["code"], (4601, 4602))
+        self.assertEqual(stream.error["ran"], "yes")
+        self.assertFalse(stream.done)
+        self.assertEqual(stream.offsets(), list(range(len(stream.offsets()))))
+        self.assertEqual(len(stream.generations()), 1)
+
+    def test_whole_delivery_hides_a_dead_engine_behind_a_second_attempt(self):
+        # Guards against a failure shown to a caller who has received nothing yet.
+        (address,) = self.start(engines=2, delivery="whole")
+        streams = []
+        reader = threading.Thread(target=lambda: streams.append(self.ask(address, 200).read()))
+        reader.start()
+        busy = wait_for(
+            lambda: next((name for name in self.engines if self.running(name)["running"]), None),
+            "a running generation",
+        )
+        self.engines[busy].kill()
+        reader.join()
+        self.assert_whole(streams[0], 200)
+
+    def test_the_generation_of_a_caller_that_has_gone_is_cancelled(self):
+        # Guards against abandoned generations that hold the engine's memory.
+        (address,) = self.start()
+        stream = self.ask(address, 100000).read(20)
+        stream.resp.close()
+        wait_for(lambda: self.running("crock-0")["running"] == 0, "cancellation")
+        dump = self.fleet.admin(self.fleet.daemons["entry-0"], "/admin/dump")
+        self.assertEqual(dump["requests"]["open"], 0)
+
+    def test_a_paused_engine_gives_each_caller_its_own_answer_after_it_continues(self):
+        # Guards against answers that reach another caller when many arrive late and at once.
+        (address,) = self.start()
+        streams = [self.ask(address, 40, f"Report {number}").read(2) for number in range(8)]
+        self.engines["crock-0"].signal(signal.SIGSTOP)
+        thawed = threading.Timer(3.0, self.engines["crock-0"].signal, [signal.SIGCONT])
+        thawed.start()
+        self.addCleanup(thawed.join)
+        names = set()
+        for stream in streams:
+            self.assert_whole(stream.read(), 40)
+            names |= stream.generations()
+        self.assertEqual(len(names), 8)
+
+    def test_a_stream_whose_engine_refuses_is_moved_to_another_engine(self):
+        # Guards against a refusal to the caller while other servers are free.
+        (address,) = self.start(engines=2)
+        self.proxies["crock-0"].set_mode("cut")
+        for _ in range(4):
+            self.assert_whole(self.ask(address, 20).read(), 20)
+
+    def test_an_answer_in_one_body_is_whole(self):
+        # Guards against a body that lacks tokens when the caller does not stream.
+        (address,) = self.start()
+        answer = post_completion(address, "Dispute, len=30")
+        self.assertEqual(len(answer["choices"][0]["text"].split()), 30)
+        self.assertEqual(answer["usage"]["completion_tokens"], 30)
+
+
+def post_completion(address, prompt):
+    body = {"model": "crock-llm", "prompt": prompt}
+    resp = http.request("POST", f"http://{address}/v1/completions", json=body, headers=KEY)
+    return json.loads(resp.data)
