Make three stream tests fail without the protection that they check

Cause: run with the protection off, three of the stream tests still passed: the engine stand-in dropped abandoned generations by itself after 10 s, the frozen link thawed before the caller's timeout, and the engine was killed before it had any output.

The stand-in now keeps generations for 60 s, the proxy can freeze just the connections that are open, and the engine is killed after 20 tokens. Each check is stricter than before.

--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -23,6 +23,7 @@
         self.delay_s = 0.0
         self.changed = threading.Condition()
         self.open = set()
+        self.frozen = set()
         self.bytes_to_target = 0
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.address = "{}:{}".format(*self.listener.getsockname())
@@ -45,11 +46,19 @@
                         conn.shutdown(socket.SHUT_RDWR)
             self.changed.notify_all()
 
+    def freeze_open(self):
+        """Hold every byte of the connections that are open; new ones pass."""
+        with self.changed:
+            self.frozen |= self.open
+
     def cut_now(self):
         """Close the connections that are open and let new ones pass."""
         self.set_mode("cut")
         self.set_mode("pass")
 
+    def _holds(self, source):
+        return self.mode == "freeze" or (source in self.frozen and self.mode != "cut")
+
     def _accept(self):
         with contextlib.suppress(OSError):
             while True:
@@ -79,7 +88,7 @@
         with contextlib.suppress(OSError):
             while data := source.recv(CHUNK):
                 with self.changed:
-                    self.changed.wait_for(lambda: self.mode != "freeze")
+                    self.changed.wait_for(lambda: not self._holds(source))
                 if self.mode == "cut" or (answers and self.mode == "lose_answers"):
                     break
                 if self.delay_s:
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -15,7 +15,6 @@
 
 from tests.standins.web import Reply, parser, serve
 
-KEEP_S = 10.0  # a generation without a reader is dropped after this time
 PREFILL_TOKENS_PER_S = 20000
 
 
@@ -111,7 +110,7 @@
             self.preemptions += 1
 
     def expire(self):
-        old = time.monotonic() - KEEP_S
+        old = time.monotonic() - self.args.keep_s
         for name in [name for name, seq in self.sequences.items() if seq.seen < old]:
             self.drop(name)
 
@@ -213,6 +212,8 @@
     options.add_argument("--ramp", type=float, default=0.0)
     options.add_argument("--memory", type=int, default=16000)
     options.add_argument("--step-ms", type=float, default=10.0)
+    # A generation without a reader is dropped after this time.
+    options.add_argument("--keep-s", type=float, default=60.0)
     options.add_argument("--check-fencing", action="store_true")
     args = options.parse_args()
     serve(Engine(args).handle, args.listen, threads=300)
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -87,6 +87,10 @@
     def running(self, name):
         return json.loads(http.request("GET", f"http://{self.engines[name].address}/load").data)
 
+    def decoded(self, name):
+        load = self.running(name)
+        return load["memory_used"] if load["running"] else 0
+
     def test_a_cut_link_to_the_engine_is_resumed_without_loss_or_repetition(self):
         # Guards against tokens lost or repeated when a stream is taken up again.
         (address,) = self.start()
@@ -100,11 +104,7 @@
         # Guards against a stream that hangs for as long as a link is silent.
         (address,) = self.start()
         stream = self.ask(address, 300).read(20)
-        proxy = self.proxies["crock-0"]
-        proxy.set_mode("freeze")
-        thawed = threading.Timer(5.0, proxy.set_mode, ["pass"])
-        thawed.start()
-        self.addCleanup(thawed.cancel)
+        self.proxies["crock-0"].freeze_open()
         self.assert_whole(stream.read(), 300)
 
     def test_a_dead_entry_vm_is_replaced_by_another_that_reads_the_same_generation(self):
@@ -163,8 +163,8 @@
         reader = threading.Thread(target=lambda: streams.append(self.ask(address, 200).read()))
         reader.start()
         busy = wait_for(
-            lambda: next((name for name in self.engines if self.running(name)["running"]), None),
-            "a running generation",
+            lambda: next((name for name in self.engines if self.decoded(name) >= 20), None),
+            "a generation with some output",
         )
         self.engines[busy].kill()
         reader.join()
