--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,9 @@
 	$(BIN)/black --quiet src tests bench
 	$(BIN)/ruff check --fix --quiet src tests bench
 
-binary: .venv/stamp
+binary: dist/lovageway
+
+dist/lovageway: .venv/stamp $(shell find src -name "*.py")
 	mkdir -p dist
 	$(BIN)/pex --sh-boot --disable-cache -r requirements.txt . -c lovageway -o dist/lovageway
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -39,8 +39,8 @@
 class Process:
     """A started process that printed its addresses as one line of JSON."""
 
-    def __init__(self, args, log):
-        self.popen = subprocess.Popen(args, stdout=subprocess.PIPE, stderr=log)
+    def __init__(self, args, log, env):
+        self.popen = subprocess.Popen(args, stdout=subprocess.PIPE, stderr=log, env=env)
         ready, _, _ = select.select([self.popen.stdout], [], [], START_TIMEOUT_S)
         line = self.popen.stdout.readline() if ready else b""
         if not line:
@@ -99,7 +99,9 @@
         return secret
 
     def _start(self, args):
-        process = Process(args, self.log)
+        # The one-file binary unpacks itself under PEX_ROOT.
+        env = {**os.environ, "PEX_ROOT": str(self.dir / "pex")}
+        process = Process(args, self.log, env)
         self.processes.append(process)
         return process
 
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -37,6 +37,8 @@
             event.reason = "listed in KNOWN-RED.txt but passed"
 
     def testOutcome(self, event):
+        if event.outcome == "subtest" and event.exc_info is None:
+            return
         if event.outcome == "passed":
             self.passed += 1
         elif event.outcome == "skipped":
