--- a/Makefile
+++ b/Makefile
@@ -7,14 +7,14 @@
 	$(BIN)/python -m tests.demo
 
 test: .venv/stamp
-	$(BIN)/black --check --quiet src tests bench
-	$(BIN)/ruff check src tests bench
+	$(BIN)/black --check --quiet src tests bench tools
+	$(BIN)/ruff check src tests bench tools
 	$(BIN)/mypy
 	$(BIN)/python -m nose2 -v
 
 format: .venv/stamp
-	$(BIN)/black --quiet src tests bench
-	$(BIN)/ruff check --fix --quiet src tests bench
+	$(BIN)/black --quiet src tests bench tools
+	$(BIN)/ruff check --fix --quiet src tests bench tools
 
 binary: dist/lovageway
 
--- a/src/lovageway/metrics.py
+++ b/src/lovageway/metrics.py
@@ -4,7 +4,7 @@
 
 from lovageway.events import Count
 
-_COUNTERS: dict[str, tuple[str, tuple[str, ...]]] = {
+COUNTERS: dict[str, tuple[str, tuple[str, ...]]] = {
     "requests": ("Requests received.", ("service",)),
     "attempts_failed": ("Attempts that ended without a whole answer.", ("failure",)),
     "callers_gone": ("Requests whose caller closed the connection early.", ()),
@@ -22,7 +22,7 @@
         self.registry = CollectorRegistry()
         self._counters = {
             name: Counter(f"lovageway_{name}", text, labels, registry=self.registry)
-            for name, (text, labels) in _COUNTERS.items()
+            for name, (text, labels) in COUNTERS.items()
         }
 
     def add(self, count: Count) -> None:
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for maintainers."""
