Give one daemon at a time the right to order engines

Cause: nothing sent orders to engines.

Weighed: an owner by rendezvous hashing (two membership views give two holders), wall-clock leases (need an error bound between machines).

Not shown yet: real processes.

--- /dev/null
+++ b/bench/streams.py
@@ -0,0 +1,162 @@
+"""CPU, memory and gaps between tokens of streamed completions: threads against an event loop.
+
+Runs a real daemon (one cheroot thread for each stream, urllib3 towards the engines) and, as the
+alternative, a minimal asyncio relay that does the same parsing, on the same engines and streams.
+
+    python -m bench.streams --streams 50 100 200 --seconds 10
+"""
+
+import argparse
+import asyncio
+import json
+import os
+import sys
+import time
+from pathlib import Path
+
+from tests.builders import contract_row, jar_returns_rows
+from tests.fleet import Fleet
+
+ENGINES = 6
+STEP_MS = 25.0  # an engine step lengthens with its batch to about 50 ms when it is full
+TICKS = os.sysconf("SC_CLK_TCK")
+
+
+def cpu_s(pid):
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS
+
+
+def rss_mb(pid):
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
+async def read_stream(address, number, tokens, gaps):
+    """Read one stream and note the gaps between the arrivals of its events, in ms."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    body = json.dumps({"model": "crock-llm", "prompt": f"{number} len={tokens}", "stream": True})
+    head = "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer clerks-key\r\n"
+    writer.write(f"{head}Content-Length: {len(body)}\r\n\r\n{body}".encode())
+    seen, last = 0, None
+    while data := await reader.read(65536):
+        now = time.perf_counter()
+        if count := data.count(b"id: "):
+            seen += count
+            if last is not None:
+                gaps.append((now - last) * 1000)
+            last = now
+        if b"[DONE]" in data or b'"error"' in data:
+            break
+    writer.close()
+    return seen
+
+
+async def relay(reader, writer, engines, counter):
+    """Serve one stream on the event loop: the alternative to a thread."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    length = int(head.lower().partition(b"content-length: ")[2].split(b"\r\n")[0])
+    body = await reader.readexactly(length)
+    counter[0] += 1
+    name, address = f"g{counter[0]}", engines[counter[0] % len(engines)]
+    host, _, port = address.rpartition(":")
+    up_reader, up_writer = await asyncio.open_connection(host, int(port))
+    fields = json.dumps({**json.loads(body), "max_tokens": 100000}).encode()
+    request = f"POST /v1/completions HTTP/1.1\r\nHost: x\r\nX-Generation-Id: {name}\r\n"
+    up_writer.write(f"{request}Content-Length: {len(fields)}\r\n\r\n".encode() + fields)
+    await up_reader.readuntil(b"\r\n\r\n")
+    writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    while size := int(await up_reader.readline(), 16):
+        chunk = await up_reader.readexactly(size + 2)
+        out = b""
+        for event in chunk[:-2].split(b"\n\n"):
+            if event.startswith(b"id: "):
+                offset, _, data = event.partition(b"\ndata: ")
+                choice = json.loads(data)["choices"][0]
+                out += offset + b"\ndata: " + json.dumps({"choices": [choice]}).encode() + b"\n\n"
+            elif event:
+                out += event + b"\n\n"
+        writer.write(f"{len(out):x}\r\n".encode() + out + b"\r\n")
+        await writer.drain()
+    up_writer.close()
+    writer.close()
+
+
+def run_relay(engines):
+    """Run the event-loop relay until it is ended; prints its address."""
+
+    async def main():
+        counter = [0]
+        server = await asyncio.start_server(
+            lambda reader, writer: relay(reader, writer, engines, counter), "127.0.0.1", 0
+        )
+        host, port = server.sockets[0].getsockname()
+        print(json.dumps({"listen": f"{host}:{port}"}), flush=True)
+        await server.serve_forever()
+
+    asyncio.run(main())
+
+
+async def load(address, streams, tokens):
+    gaps = []
+    reads = [read_stream(address, number, tokens, gaps) for number in range(streams)]
+    seen = sum(await asyncio.gather(*reads))
+    gaps.sort()
+    return seen, gaps
+
+
+def measure(name, process, streams, tokens):
+    pid, before, started = process.popen.pid, cpu_s(process.popen.pid), time.perf_counter()
+    seen, gaps = asyncio.run(load(process.address, streams, tokens))
+    used, wall = cpu_s(pid) - before, time.perf_counter() - started
+    p50, p99 = (gaps[int(len(gaps) * part)] if gaps else 0.0 for part in (0.5, 0.99))
+    print(
+        f"| {name} | {streams} | {seen} of {streams * tokens} | {seen / wall:.0f} |"
+        f" {used / max(seen, 1) * 1e6:.0f} | {seen / max(used, 0.01):.0f} | {rss_mb(pid):.0f} |"
+        f" {p50:.0f} | {p99:.0f} |",
+        flush=True,
+    )
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--streams", type=int, nargs="+", default=[50, 100, 200])
+    parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--relay", nargs="+", help=argparse.SUPPRESS)
+    args = parser.parse_args()
+    if args.relay:
+        return run_relay(args.relay)
+    most = max(args.streams)
+    print(f"{ENGINES} engines, step {STEP_MS} ms, load average {os.getloadavg()[0]:.1f} at start")
+    print(
+        "| server | streams | tokens | tokens/s | CPU us/token | tokens/s a core | RSS MB |", end=""
+    )
+    print(" gap p50 ms | gap p99 ms |\n|---|---|---|---|---|---|---|---|---|")
+    with Fleet() as fleet:
+        slots = str(most // ENGINES + 8)
+        options = ["--step-ms", str(STEP_MS), "--slots", slots, "--memory", "10000000"]
+        engines = [
+            fleet.backend(f"crock-{n}", "crock-llm", "khangai", "engine", *options)
+            for n in range(ENGINES)
+        ]
+        daemon = fleet.daemon("entry-0", "khangai", worker_threads=most + 20)
+        rows = jar_returns_rows()
+        rows["contract/clerks"] = contract_row("clerks", concurrency=2000, tokens_per_s=1e6)
+        rows["service/crock-llm"].update(full_slots=int(slots), cold_slots=int(slots))
+        fleet.write_configuration(rows)
+        fleet.publish_vms()
+        fleet.wait_ready()
+        addresses = [engine.address for engine in engines]
+        loop = fleet._start([sys.executable, "-m", "bench.streams", "--relay", *addresses])
+        for streams in args.streams:
+            tokens = int(args.seconds * 20)
+            measure("event loop (alternative)", loop, streams, tokens)
+            measure("daemon (threads)", daemon, streams, tokens)
+    return None
+
+
+if __name__ == "__main__":
+    main()
--- a/src/lovageway/adapters/engines.py
+++ b/src/lovageway/adapters/engines.py
@@ -114,6 +114,14 @@
         except (HTTPError, OSError):
             return
 
+    def order(self, address: str, order: dict[str, object]) -> bool | None:
+        """Send a desired state; False: refused for its fencing number, None: no answer."""
+        try:
+            resp = self._pool.request("POST", f"http://{address}/orders", json=order)
+        except (HTTPError, OSError):
+            return None
+        return {200: True, 409: False}.get(resp.status)
+
     def load(self, address: str) -> LoadReport | None:
         """Return the server's load report, None when it cannot be read."""
         try:
--- a/src/lovageway/daemon.py
+++ b/src/lovageway/daemon.py
@@ -27,10 +27,12 @@
     Count,
     Effect,
     LoadRead,
+    OrderAnswered,
     PeerMessage,
     ReadLoad,
     ReadRows,
     ReadVmList,
+    SendOrder,
     SendPeer,
     StateChanged,
     Stopped,
@@ -105,7 +107,11 @@
             server.prepare()
         address = _bound(callers)
         ident = Identity(daemon.vm_id, start_id, daemon.zone, address, self._peers.address)
-        self._runtime = Runtime(Node(ident, random.Random()), time.monotonic, self._perform)
+        self._runtime = Runtime(
+            Node(ident, random.Random(), self._cfg.platform.weight_loads_per_s),
+            time.monotonic,
+            self._perform,
+        )
         operator_keys = [read_secret(path) for path in self._cfg.keys.operator_key_files]
         resume_keys = [read_secret(path) for path in self._cfg.keys.resume_key_files]
         callers.wsgi_app = Callers(
@@ -191,6 +197,14 @@
     def _(self, effect: CancelGeneration) -> None:
         self._background(self._engines.cancel, effect.address, effect.generation)
 
+    @_perform.register
+    def _(self, effect: SendOrder) -> None:
+        def send() -> None:
+            accepted = self._engines.order(effect.address, effect.order)
+            self._runtime.submit(OrderAnswered(effect.server_id, effect.fencing, accepted))
+
+        self._background(send)
+
     @_perform.register
     def _(self, effect: Stopped) -> None:
         self._loop.call_soon_threadsafe(self._stopped.set)
--- a/src/lovageway/metrics.py
+++ b/src/lovageway/metrics.py
@@ -10,6 +10,7 @@
     "callers_gone": ("Requests whose caller closed the connection early.", ()),
     "generations_cancelled": ("Generations cancelled after their caller had gone.", ()),
     "refusals": ("Refusals sent to callers.", ("code",)),
+    "orders_refused": ("Orders that an engine refused for their fencing number.", ()),
     "stops": ("Planned stops begun.", ()),
     "peer_errors": ("Peer connections dropped or messages lost.", ("reason",)),
 }
--- a/src/lovageway/model.py
+++ b/src/lovageway/model.py
@@ -49,6 +49,16 @@
     enabled: bool = True
 
 
+class Order(NamedTuple):
+    """The state that operators want an engine to be in."""
+
+    server_id: str
+    model: str
+    version: str
+    adapters: tuple[str, ...] = ()
+    role: str = "serve"
+
+
 class Vm(NamedTuple):
     """One line of the platform's VM list."""
 
@@ -82,6 +92,7 @@
     services: Mapping[str, Service]
     zones: Mapping[str, Zone]
     servers: Mapping[str, ServerRule]
+    orders: Mapping[str, Order] = {}
 
 
 class Change(NamedTuple):
--- a/src/lovageway/node.py
+++ b/src/lovageway/node.py
@@ -10,6 +10,7 @@
 from lovageway.controllers.base import Controller
 from lovageway.controllers.configuration import Configuration
 from lovageway.controllers.membership import Membership
+from lovageway.controllers.orders import Orders
 from lovageway.controllers.streams import Streams
 from lovageway.events import (
     AttemptFailed,
@@ -21,6 +22,7 @@
     Effect,
     Event,
     LoadRead,
+    OrderAnswered,
     PeerMessage,
     Refuse,
     RequestArrived,
@@ -51,9 +53,13 @@
         This daemon.
     rng
         The only source of randomness.
+    weight_loads_per_s
+        Loads a second that the weight store allows.
     """
 
-    def __init__(self, identity: Identity, rng: random.Random) -> None:
+    def __init__(
+        self, identity: Identity, rng: random.Random, weight_loads_per_s: float = 1.0
+    ) -> None:
         self.configuration = Configuration()
         self.membership = Membership(identity, rng, self.configuration.status)
         self.backends = Backends(self.membership, self.configuration)
@@ -64,6 +70,13 @@
         }
         self.streams = Streams(self.membership)
         self._controllers["streams"] = self.streams
+        self.orders = Orders(
+            self.membership,
+            lambda: self.configuration.snapshot.orders,
+            self.backends.start_id,
+            weight_loads_per_s,
+        )
+        self._controllers["orders"] = self.orders
         self._attempt = Attempt()
         self.authenticate = Authenticate(self.configuration)
         readiness = Readiness(self.configuration)
@@ -202,10 +215,15 @@
         for item in self._controllers.values():
             item.on_table(event, now, self._emit)
 
+    @_on.register
+    def _(self, event: OrderAnswered, now: float) -> None:
+        self.orders.on_answer(event, now, self._emit)
+
     @_on.register
     def _(self, event: StopRequested, now: float) -> None:
         self._emit(Count("stops"))
         self._stopping = True
+        self.orders.resign(now, self._emit)
         self._finish_stop()
 
     def _finish_stop(self) -> None:
--- a/src/lovageway/settings.py
+++ b/src/lovageway/settings.py
@@ -32,6 +32,9 @@
 
     table_url: str = Field(pattern=r"^https?://", description="Base URL of the table service.")
     vm_list_url: str = Field(pattern=r"^https?://", description="URL of the VM list.")
+    weight_loads_per_s: float = Field(
+        1.0, gt=0, description="Loads a second that the weight store allows; the same on all VMs."
+    )
 
 
 class KeySettings(_Section):
