Check secrets before serving, choose the form of logs, bound load reads

Cause: a missing key file gave a traceback; a silent backend server took one I/O thread for each poll (a read times out after 2 s, polls come every 0.5 s), which delayed every other background call.

One read at a time runs for each server, on threads of their own. 'serve' names each unreadable or short secret and exits 2. [log] form is json or console.

--- a/src/lovageway/cli.py
+++ b/src/lovageway/cli.py
@@ -15,7 +15,8 @@
 def serve(config: Annotated[Path, typer.Option(help="Settings file (TOML).")]) -> None:
     """Run the entry daemon."""
     cfg = _load(config)
-    logs.configure()
+    _refuse(settings.secret_problems(cfg))
+    logs.configure(cfg.log.form)
     Daemon(cfg).run()
 
 
@@ -30,9 +31,15 @@
     loaded = settings.load(path)
     if loaded.is_ok():
         return loaded.ok
-    for problem in loaded.error:
+    _refuse(loaded.error)
+    raise AssertionError("a failed load names at least one problem")
+
+
+def _refuse(problems: list[settings.Problem]) -> None:
+    for problem in problems:
         typer.echo(str(problem), err=True)
-    raise typer.Exit(2)
+    if problems:
+        raise typer.Exit(2)
 
 
 def main() -> None:
--- a/src/lovageway/daemon.py
+++ b/src/lovageway/daemon.py
@@ -50,6 +50,7 @@
 
 TICK_S = 0.05
 IO_THREADS = 8
+LOAD_THREADS = 16  # a daemon owns about 13 servers at the target size
 
 log = structlog.get_logger()
 
@@ -71,6 +72,9 @@
         self._engines = Engines()
         self._services = PlainServices()
         self._pool = ThreadPoolExecutor(IO_THREADS, thread_name_prefix="io")
+        # Threads of their own, so that silent servers delay no other server's report for long.
+        self._load_pool = ThreadPoolExecutor(LOAD_THREADS, thread_name_prefix="load")
+        self._loads: set[str] = set()
 
     def run(self) -> None:
         """Serve until a planned stop is complete."""
@@ -94,6 +98,7 @@
             await asyncio.to_thread(server.stop)
         await self._peers.close()
         self._pool.shutdown(wait=False, cancel_futures=True)
+        self._load_pool.shutdown(wait=False, cancel_futures=True)
 
     def _listen(self, start_id: str) -> None:
         """Bind the listeners, build the node and print the addresses as one line of JSON."""
@@ -187,11 +192,18 @@
 
     @_perform.register
     def _(self, effect: ReadLoad) -> None:
+        if effect.server_id in self._loads:
+            return  # a silent server would otherwise take one thread after another
+        self._loads.add(effect.server_id)
+
         def read() -> None:
-            report = self._engines.load(effect.address)
+            try:
+                report = self._engines.load(effect.address)
+            finally:
+                self._loads.discard(effect.server_id)
             self._runtime.submit(LoadRead(effect.server_id, report))
 
-        self._background(read)
+        self._load_pool.submit(read)
 
     @_perform.register
     def _(self, effect: CancelGeneration) -> None:
--- a/src/lovageway/logs.py
+++ b/src/lovageway/logs.py
@@ -1,4 +1,4 @@
-"""Logs: one JSON line on standard error for each change of state."""
+"""Logs: one line on standard error for each change of state."""
 
 import logging
 import sys
@@ -6,14 +6,22 @@
 import structlog
 
 
-def configure() -> None:
-    """Set up structlog for the whole process."""
+def configure(form: str) -> None:
+    """Set up structlog for the whole process.
+
+    Parameters
+    ----------
+    form
+        "json" for one object a line, "console" for people.
+    """
+    console = form == "console"
+    renderer = structlog.dev.ConsoleRenderer() if console else structlog.processors.JSONRenderer()
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
             structlog.processors.format_exc_info,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
-            structlog.processors.JSONRenderer(),
+            renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
         logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
--- a/src/lovageway/settings.py
+++ b/src/lovageway/settings.py
@@ -2,7 +2,7 @@
 
 import tomllib
 from pathlib import Path
-from typing import Annotated, NamedTuple
+from typing import Annotated, Literal, NamedTuple
 
 from expression import Error, Ok, Result
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
@@ -51,12 +51,19 @@
     )
 
 
+class LogSettings(_Section):
+    """How changes of state are logged on standard error."""
+
+    form: Literal["json", "console"] = Field("json", description='"json" or "console".')
+
+
 class Settings(_Section):
     """The whole file."""
 
     daemon: DaemonSettings
     platform: PlatformSettings
     keys: KeySettings
+    log: LogSettings = Field(default_factory=lambda: LogSettings(form="json"))
 
 
 class Problem(NamedTuple):
@@ -87,6 +94,18 @@
         )
 
 
+def secret_problems(cfg: Settings) -> list[Problem]:
+    """Return what is wrong with the files that hold secrets; empty when all can be read."""
+    problems = []
+    for name in KeySettings.model_fields:
+        for path in getattr(cfg.keys, name):
+            try:
+                read_secret(path)
+            except (OSError, ValueError) as exc:
+                problems.append(Problem(f"keys.{name}", str(path), str(exc)))
+    return problems
+
+
 def read_secret(path: Path) -> bytes:
     """Return the secret in a file.
 
