--- a/src/lovageway/chain.py
+++ b/src/lovageway/chain.py
@@ -23,6 +23,7 @@
     server_id: str = ""
     address: str = ""
     start_id: str = ""
+    memory: int = 0  # tokens of KV memory charged at the server
     delivered: int = 0  # output tokens that the caller has
     claim_revision: int = 0  # of this request's row in the table service, 0: none
     lookup_done: bool = False
