Admit and route by predicted memory; make the stand-in engine a batching model

Admission charges prompt + 80 % quantile of the output length, capped by what an empty server can grant, and queues by class. Routing chooses by committed memory share and grows the charge while the generation runs. Filters get abandon(), because a request that ends while it waits is not released by the filter it waits for: a caller that left would otherwise block the head of the queue for ever.

The stand-in engine now computes prompts in chunks, keeps a prefix cache, slows down with KV memory, counts preemptions and stall time by priority under /stats, and sends a comment each second while a sequence waits. Without the comment the daemon takes an engine that queues for 8 s as dead.

Baselines (round robin, least requests, two choices) are chosen by routing.policy and keep slots, queue order and engine priority; they only ignore memory.

--- a/src/lovageway/chain.py
+++ b/src/lovageway/chain.py
@@ -25,6 +25,7 @@
     start_id: str = ""
     memory: int = 0  # tokens of KV memory charged at the server
     delivered: int = 0  # output tokens that the caller has
+    finished: bool = False  # the whole answer has been read
     claim_revision: int = 0  # of this request's row in the table service, 0: none
     lookup_done: bool = False
 
@@ -55,6 +56,9 @@
     def delivered(self, ctx: Context, count: int, now: float, emit: Emit) -> None:
         """Learn that `count` more output tokens reached the caller."""
 
+    def abandon(self, ctx: Context, now: float, emit: Emit) -> None:
+        """Forget a request that ends in front of this filter, whether or not it waited."""
+
     def release(self, ctx: Context, now: float, emit: Emit) -> None:
         """Give back what `admit` took; called once for each time that it let the request pass."""
 
@@ -177,6 +181,8 @@
     def _close(self, request_id: str, now: float, emit: Emit) -> bool:
         entry = self._entries.pop(request_id, None)
         if entry is not None:
+            if entry.position < len(self._filters):
+                self._filters[entry.position].abandon(entry.ctx, now, emit)
             self._release(entry.ctx, 0, entry.position, now, emit)
         return entry is not None
 
--- a/src/lovageway/daemon.py
+++ b/src/lovageway/daemon.py
@@ -101,7 +101,9 @@
             server.prepare()
         address = _bound(callers)
         ident = Identity(daemon.vm_id, start_id, daemon.zone, address, self._peers.address)
-        self._runtime = Runtime(Node(ident, random.Random()), time.monotonic, self._perform)
+        self._runtime = Runtime(
+            Node(ident, random.Random(), self._cfg.routing.policy), time.monotonic, self._perform
+        )
         operator_keys = [read_secret(path) for path in self._cfg.keys.operator_key_files]
         callers.wsgi_app = Callers(self._runtime, self._engines, self._services)
         operators.wsgi_app = Operators(self._runtime, operator_keys, self._metrics.registry)
--- /dev/null
+++ b/src/lovageway/filters/admission.py
@@ -0,0 +1,190 @@
+"""Decides when a request may go to a server: predicted memory, classes and a bounded queue."""
+
+from collections import OrderedDict
+from math import exp
+from typing import NamedTuple
+
+from expression import Ok
+
+from lovageway.chain import Context, Filter, Verdict, Wait, stop
+from lovageway.codes import Code, Refusal
+from lovageway.controllers.backends import MEMORY_PART, Backends
+from lovageway.controllers.lengths import Lengths
+from lovageway.events import Count, Emit
+from lovageway.filters.routing import BATCH_PART, NO_SERVER_RETRY_S, Routing
+from lovageway.model import BATCH, INTERACTIVE
+
+CHARGE_QUANTILE = 0.8
+# Every waiting request occupies a worker thread; batch must not take those of interactive ones.
+MAX_WAITING = {INTERACTIVE: 128, BATCH: 64}
+MIN_RETRY_S = 0.5
+MAX_RETRY_S = 60.0
+
+
+class Drain:
+    """Rate at which a queue is served while it is not empty.
+
+    The rate is a mean with exponentially falling weights over the time in which requests waited,
+    so idle times do not pull it down.
+    """
+
+    TIME_CONSTANT_S = 20.0
+    MIN_BUSY_S = 3.0
+
+    def __init__(self) -> None:
+        self._busy_s = 0.0
+        self._served = 0.0
+        self._last = 0.0
+
+    def advance(self, now: float, busy: bool) -> None:
+        """Account for the time since the last call; `busy`: requests waited all the time."""
+        passed, self._last = now - self._last, now
+        if busy and passed > 0:
+            left = exp(-passed / self.TIME_CONSTANT_S)
+            self._busy_s = self._busy_s * left + self.TIME_CONSTANT_S * (1 - left)
+            self._served *= left
+
+    def serve(self, cost: float) -> None:
+        """Note that a waiting request of this cost was let through."""
+        self._served += cost
+
+    def wait_s(self, cost: float, own_cost: float) -> float | None:
+        """Return the expected time until `cost` has been served, None while it is unknown.
+
+        With nothing served yet, one request of `own_cost` in the time observed is the upper bound
+        of the rate, so the result is then a lower bound.
+        """
+        if self._busy_s < self.MIN_BUSY_S:
+            return None
+        return cost * self._busy_s / max(self._served, own_cost)
+
+
+class _Lane(NamedTuple):
+    """Waiting requests of one service and class, with their charges, in order of arrival."""
+
+    waiting: OrderedDict[str, int]
+    drain: Drain
+
+
+class Admission(Filter):
+    """Charges requests for the memory they will need and makes them wait in order of class.
+
+    Parameters
+    ----------
+    backends
+        Learns of demand that found no credit.
+    lengths
+        Predicts output lengths; learns from requests that end.
+    routing
+        The filter behind this one; knows which servers have credit.
+    uses_memory
+        Whether memory is charged at all; baselines look at slots alone.
+    """
+
+    def __init__(
+        self, backends: Backends, lengths: Lengths, routing: Routing, uses_memory: bool
+    ) -> None:
+        self._backends = backends
+        self._lengths = lengths
+        self._routing = routing
+        self._uses_memory = uses_memory
+        self._lanes: dict[tuple[str, str], _Lane] = {}
+
+    def waiting(self, request_class: str) -> int:
+        """Return the number of requests of a class that wait, at all services."""
+        return sum(
+            len(lane.waiting) for (_, kind), lane in self._lanes.items() if kind == request_class
+        )
+
+    def admit(self, ctx: Context, now: float, emit: Emit) -> Verdict:
+        """Let the request pass when it is its turn and a server has credit for it."""
+        request_id = ctx.req.request_id
+        lane = self._lane(ctx.req.service, ctx.request_class)
+        lane.drain.advance(now, bool(lane.waiting))
+        queued = request_id in lane.waiting
+        memory = lane.waiting[request_id] if queued else self._charge(ctx, now)
+        if self._has_turn(ctx, lane) and self._routing.options(ctx, memory, now):
+            if queued:
+                del lane.waiting[request_id]
+                lane.drain.serve(memory or 1)
+            return Ok(ctx._replace(memory=memory))
+        self._backends.want(ctx.req.service, request_id, memory, now)
+        if not queued:
+            refusal = self._overload(ctx, lane, memory)
+            if refusal is not None:
+                emit(Count("queue_refusals", (ctx.request_class,)))
+                return stop(refusal)
+            emit(Count("queued", (ctx.request_class,)))
+            lane.waiting[request_id] = memory
+        return stop(self._wait(ctx, lane, memory, now))
+
+    def abandon(self, ctx: Context, now: float, emit: Emit) -> None:
+        """Forget a request that ended while it waited."""
+        lane = self._lane(ctx.req.service, ctx.request_class)
+        lane.drain.advance(now, bool(lane.waiting))
+        lane.waiting.pop(ctx.req.request_id, None)
+
+    def release(self, ctx: Context, now: float, emit: Emit) -> None:
+        """Learn from the output length."""
+        assert ctx.contract is not None
+        assert ctx.service is not None
+        if ctx.service.kind != "engine" or not (ctx.finished or ctx.delivered):
+            return
+        cut = not ctx.finished or ctx.delivered >= ctx.req.max_tokens
+        self._lengths.observe(
+            ctx.contract.account, ctx.service.name, ctx.request_class, ctx.delivered, cut
+        )
+
+    def _lane(self, service: str, request_class: str) -> _Lane:
+        # Authenticate lets only configured services and the two classes pass.
+        key = (service, request_class)
+        if key not in self._lanes:
+            self._lanes[key] = _Lane(OrderedDict(), Drain())
+        return self._lanes[key]
+
+    def _has_turn(self, ctx: Context, lane: _Lane) -> bool:
+        if ctx.request_class == BATCH and self._lane(ctx.req.service, INTERACTIVE).waiting:
+            return False
+        return not lane.waiting or next(iter(lane.waiting)) == ctx.req.request_id
+
+    def _charge(self, ctx: Context, now: float) -> int:
+        """Return prompt and predicted output in tokens, at most what an empty server can grant."""
+        assert ctx.contract is not None
+        assert ctx.service is not None
+        if not self._uses_memory or ctx.service.kind != "engine":
+            return 0
+        curve = self._lengths.curve(ctx.contract.account, ctx.service.name, ctx.request_class)
+        output = min(ctx.req.max_tokens, curve.quantile(CHARGE_QUANTILE))
+        views = self._backends.credits(ctx.service.name, now)
+        capacity = max((view.memory_capacity for view in views), default=0)
+        most = int(capacity * MEMORY_PART * BATCH_PART)
+        charge = ctx.req.prompt_tokens + output
+        return min(charge, most) if most else charge
+
+    def _overload(self, ctx: Context, lane: _Lane, memory: int) -> Refusal | None:
+        """Return the refusal of a request whose wait would be too long."""
+        assert ctx.contract is not None
+        expected = self._expected_wait_s(lane, memory, queued=False)
+        full = self.waiting(ctx.request_class) >= MAX_WAITING[ctx.request_class]
+        if not full and (expected is None or expected <= ctx.contract.max_wait_s):
+            return None
+        return Refusal(Code.QUEUE_FULL, retry_after_s=_retry_after_s(expected))
+
+    def _expected_wait_s(self, lane: _Lane, memory: int, queued: bool) -> float | None:
+        """Return the time until the lane's waiting requests and this one have been served."""
+        own = memory or 1
+        ahead = sum(cost or 1 for cost in lane.waiting.values())
+        return lane.drain.wait_s(ahead + own * (not queued), own)
+
+    def _wait(self, ctx: Context, lane: _Lane, memory: int, now: float) -> Wait:
+        assert ctx.contract is not None
+        until = ctx.arrived + ctx.contract.max_wait_s
+        if not self._backends.credits(ctx.req.service, now):
+            return Wait(Refusal(Code.NO_SERVER, retry_after_s=NO_SERVER_RETRY_S), until)
+        retry_after_s = _retry_after_s(self._expected_wait_s(lane, memory, queued=True))
+        return Wait(Refusal(Code.WAITED_TOO_LONG, retry_after_s=retry_after_s), until)
+
+
+def _retry_after_s(expected: float | None) -> float:
+    known = NO_SERVER_RETRY_S if expected is None else expected
+    return round(min(MAX_RETRY_S, max(MIN_RETRY_S, known)), 2)
--- a/src/lovageway/filters/routing.py
+++ b/src/lovageway/filters/routing.py
@@ -1,48 +1,200 @@
-"""Chooses the backend server of an attempt."""
+"""Chooses the backend server of an attempt and keeps its charge up to date while it runs."""
+
+import random
+from collections import OrderedDict
+from typing import NamedTuple
 
 from expression import Ok
 
 from lovageway.chain import Context, Filter, Verdict, Wait, stop
 from lovageway.codes import Code, Refusal
 from lovageway.controllers.backends import Backends, ServerView
+from lovageway.controllers.configuration import Configuration
+from lovageway.controllers.lengths import Lengths
 from lovageway.events import Emit
+from lovageway.model import BATCH
+from lovageway.policies import OTHER_REGION_COST, OTHER_ZONE_COST, Policy, Site
 
 NO_SERVER_RETRY_S = 2.0
-MAX_ASSUMED_TOKENS = 512  # max_tokens says little: callers leave it at its high default
+BATCH_PART = 0.85  # of a grant; the rest is headroom for interactive requests
+MAX_PREFIXES = 4096
+PREFIX_AGE_S = 60.0
+SERVERS_PER_PREFIX = 4
+# Load reports and grants are renewed every 0.5 s; a newer commitment may not show in them yet.
+PENDING_S = 0.6
+GROWTH_CHECK = 1.15  # the charge is looked at again when the output has grown by this factor
+
+
+class _Held(NamedTuple):
+    server_id: str
+    memory: int
+    batch: bool
+    check_at: int  # output tokens at which the charge is looked at again
+
+
+class _Own(NamedTuple):
+    """What this daemon's requests hold at one server."""
+
+    memory: int = 0
+    batch_slots: int = 0
+    batch_memory: int = 0
+
+
+_NOTHING = _Own()
 
 
 class Routing(Filter):
-    """Sends each attempt to the ready server with the fewest of this daemon's requests."""
+    """Sends each attempt to the server that the policy prefers among those with credit.
+
+    Parameters
+    ----------
+    backends, configuration, lengths
+        Credits, zones and predictions.
+    zone
+        Availability zone of this daemon.
+    policy
+        How to choose among servers.
+    rng
+        Spreads equal choices.
+    """
 
-    def __init__(self, backends: Backends) -> None:
+    def __init__(
+        self,
+        backends: Backends,
+        configuration: Configuration,
+        lengths: Lengths,
+        zone: str,
+        policy: Policy,
+        rng: random.Random,
+    ) -> None:
         self._backends = backends
+        self._configuration = configuration
+        self._lengths = lengths
+        self._zone = zone
+        self._policy = policy
+        self._rng = rng
+        self._held: dict[str, _Held] = {}
+        self._own: dict[str, _Own] = {}
+        self._pending: dict[str, list[tuple[float, int]]] = {}
+        self._prefixes: OrderedDict[tuple[str, str], dict[str, tuple[str, float]]] = OrderedDict()
 
-    def admit(self, ctx: Context, now: float, emit: Emit) -> Verdict:
-        """Add server, address and start identity to the context."""
-        assert ctx.contract is not None
-        memory = ctx.req.prompt_tokens + min(ctx.req.max_tokens, MAX_ASSUMED_TOKENS)
-        views = [
+    def options(self, ctx: Context, memory: int, now: float) -> list[ServerView]:
+        """Return the servers that have credit for the request."""
+        batch = ctx.request_class == BATCH
+        return [
             view
             for view in self._backends.credits(ctx.req.service, now)
-            if view.vm.vm_id not in ctx.tried and _fits(view, memory)
+            if view.vm.vm_id not in ctx.tried
+            and fits(view, memory, batch, self._own.get(view.vm.vm_id, _NOTHING))
         ]
+
+    def admit(self, ctx: Context, now: float, emit: Emit) -> Verdict:
+        """Add server, address and start identity to the context."""
+        assert ctx.contract is not None
+        views = self.options(ctx, ctx.memory, now)
         if not views:
-            self._backends.want(ctx.req.service, ctx.req.request_id, memory, now)
+            self._backends.want(ctx.req.service, ctx.req.request_id, ctx.memory, now)
             refusal = Refusal(Code.NO_SERVER, retry_after_s=NO_SERVER_RETRY_S)
             return stop(Wait(refusal, ctx.arrived + ctx.contract.max_wait_s))
-        view = min(views, key=lambda view: (view.in_flight, view.vm.vm_id))
+        sites = [self._site(view, ctx, now) for view in views]
+        view = self._policy.choose(ctx.req.service, sites, self._rng).view
+        self._take(ctx, view, now)
         vm = view.vm
-        self._backends.take(vm.vm_id, 1, memory)
-        return Ok(
-            ctx._replace(
-                server_id=vm.vm_id, address=vm.address, start_id=view.start_id, memory=memory
-            )
-        )
+        return Ok(ctx._replace(server_id=vm.vm_id, address=vm.address, start_id=view.start_id))
+
+    def delivered(self, ctx: Context, count: int, now: float, emit: Emit) -> None:
+        """Let the charge grow to the current length and the expected remainder."""
+        held = self._held.get(ctx.req.request_id)
+        if held is None or ctx.delivered < held.check_at:
+            return
+        assert ctx.contract is not None
+        check_at = max(ctx.delivered + 8, int(ctx.delivered * GROWTH_CHECK))
+        curve = self._lengths.curve(ctx.contract.account, ctx.req.service, ctx.request_class)
+        rest = curve.remainder(ctx.delivered, ctx.req.max_tokens)
+        wanted = ctx.req.prompt_tokens + ctx.delivered + round(rest)
+        more = max(0, wanted - held.memory)
+        self._held[ctx.req.request_id] = held._replace(memory=held.memory + more, check_at=check_at)
+        if more:
+            self._backends.grow(held.server_id, more)
+            self._add(held, 0, more)
 
     def release(self, ctx: Context, now: float, emit: Emit) -> None:
         """Give the request's slot and memory back."""
-        self._backends.release(ctx.server_id, 1, ctx.memory)
+        held = self._held.pop(ctx.req.request_id)
+        self._backends.release(held.server_id, 1, held.memory)
+        self._add(held, -1, -held.memory)
+
+    def _take(self, ctx: Context, view: ServerView, now: float) -> None:
+        server_id, batch = view.vm.vm_id, ctx.request_class == BATCH
+        self._backends.take(server_id, 1, ctx.memory)
+        # Without a charge (plain services, baselines) nothing grows.
+        check_at = 1 if ctx.memory else ctx.req.max_tokens + 1
+        held = _Held(server_id, ctx.memory, batch, check_at)
+        self._held[ctx.req.request_id] = held
+        self._add(held, 1, ctx.memory)
+        if ctx.memory:
+            self._pending.setdefault(server_id, []).append((now, ctx.memory))
+        if ctx.req.prefix:
+            self._remember_prefix(ctx, view, now)
+
+    def _add(self, held: _Held, slots: int, memory: int) -> None:
+        own = self._own.get(held.server_id, _NOTHING)
+        own = _Own(
+            own.memory + memory,
+            own.batch_slots + slots * held.batch,
+            own.batch_memory + memory * held.batch,
+        )
+        if own == _NOTHING:
+            self._own.pop(held.server_id, None)
+        else:
+            self._own[held.server_id] = own
+
+    def _remember_prefix(self, ctx: Context, view: ServerView, now: float) -> None:
+        key = (ctx.req.service, ctx.req.prefix)
+        servers = self._prefixes.setdefault(key, {})
+        self._prefixes.move_to_end(key)
+        servers.pop(view.vm.vm_id, None)
+        servers[view.vm.vm_id] = (view.start_id, now)
+        while len(servers) > SERVERS_PER_PREFIX:
+            del servers[next(iter(servers))]
+        while len(self._prefixes) > MAX_PREFIXES:
+            self._prefixes.popitem(last=False)
+
+    def _site(self, view: ServerView, ctx: Context, now: float) -> Site:
+        server_id = view.vm.vm_id
+        recent = [item for item in self._pending.get(server_id, ()) if item[0] > now - PENDING_S]
+        if recent:
+            self._pending[server_id] = recent
+        else:
+            self._pending.pop(server_id, None)
+        known = self._prefixes.get((ctx.req.service, ctx.req.prefix), {}).get(server_id)
+        cached = known is not None and known[0] == view.start_id and now - known[1] <= PREFIX_AGE_S
+        pending = sum(memory for _, memory in recent)
+        return Site(view, pending, cached, self._distance(view.vm.zone))
+
+    def _distance(self, zone: str) -> float:
+        if zone == self._zone:
+            return 0.0
+        zones = self._configuration.snapshot.zones
+        here, there = zones.get(self._zone), zones.get(zone)
+        near = here is not None and there is not None and here.region == there.region
+        return OTHER_ZONE_COST if near else OTHER_REGION_COST
+
 
+def fits(view: ServerView, memory: int, batch: bool, own: _Own) -> bool:
+    """Tell whether a server has credit for a request that is charged `memory`.
 
-def _fits(view: ServerView, memory: int) -> bool:
-    return view.slots_free >= 1 and (not view.memory_capacity or view.memory_free >= memory)
+    Batch requests leave a part of this daemon's grant to interactive ones; one slot is always
+    theirs, so that a server that has just started serves both.
+    """
+    if view.slots_free < 1:
+        return False
+    slots = view.slots_free + view.in_flight
+    if batch and own.batch_slots + 1 > max(1, int(slots * BATCH_PART)):
+        return False
+    if not view.memory_capacity or not memory:
+        return True
+    if view.memory_free < memory:
+        return False
+    grant = view.memory_free + own.memory
+    return not batch or own.batch_memory + memory <= grant * BATCH_PART
--- a/src/lovageway/metrics.py
+++ b/src/lovageway/metrics.py
@@ -8,6 +8,8 @@
     "requests": ("Requests received.", ("service",)),
     "attempts_failed": ("Attempts that ended without a whole answer.", ("failure",)),
     "callers_gone": ("Requests whose caller closed the connection early.", ()),
+    "queued": ("Requests that waited for credit.", ("request_class",)),
+    "queue_refusals": ("Requests refused since the wait would be too long.", ("request_class",)),
     "stops": ("Planned stops begun.", ()),
     "share_lines": ("Lines of requests for shares sent to owners.", ()),
     "grant_lines": ("Lines of grants sent to holders.", ()),
--- a/src/lovageway/node.py
+++ b/src/lovageway/node.py
@@ -9,6 +9,7 @@
 from lovageway.controllers.backends import Backends
 from lovageway.controllers.base import Controller
 from lovageway.controllers.configuration import Configuration
+from lovageway.controllers.lengths import Lengths
 from lovageway.controllers.membership import Membership
 from lovageway.controllers.shares import Shares
 from lovageway.events import (
@@ -31,12 +32,14 @@
     TokensDelivered,
     VmListRead,
 )
+from lovageway.filters.admission import Admission
 from lovageway.filters.attempt import Attempt
 from lovageway.filters.authenticate import Authenticate
 from lovageway.filters.limits import AccountLimits, Limits
 from lovageway.filters.readiness import Readiness
 from lovageway.filters.routing import Routing
 from lovageway.model import Identity
+from lovageway.policies import POLICIES, PolicyName
 
 HISTORY_REQUESTS = 1000
 
@@ -50,28 +53,39 @@
         This daemon.
     rng
         The only source of randomness.
+    policy
+        How to choose among servers; all but the default are baselines for measurements.
     """
 
-    def __init__(self, identity: Identity, rng: random.Random) -> None:
+    def __init__(
+        self, identity: Identity, rng: random.Random, policy: PolicyName = "memory"
+    ) -> None:
         self.configuration = Configuration()
         self.membership = Membership(identity, rng, self.configuration.status)
         self.shares = Shares(self.membership)
         self.backends = Backends(self.membership, self.configuration, self.shares)
         self.shares.register("account", AccountLimits(self.configuration))
         self.shares.register("server", self.backends)
+        self.lengths = Lengths()
         self._controllers: dict[str, Controller] = {
             "membership": self.membership,
             "configuration": self.configuration,
             "backends": self.backends,
             "shares": self.shares,
+            "lengths": self.lengths,
         }
         self._attempt = Attempt()
+        chosen = POLICIES[policy]()
+        routing = Routing(
+            self.backends, self.configuration, self.lengths, identity.zone, chosen, rng
+        )
         self.chain = Chain(
             [
                 Readiness(self.configuration),
                 Authenticate(self.configuration),
                 Limits(self.shares),
-                Routing(self.backends),
+                Admission(self.backends, self.lengths, routing, chosen.uses_memory),
+                routing,
                 self._attempt,
             ]
         )
@@ -157,6 +171,7 @@
     def _(self, event: AttemptFinished, now: float) -> None:
         ctx = self.chain.get(event.request_id)
         if ctx is not None and ctx.attempt == event.attempt:
+            self.chain.replace(ctx._replace(finished=True))
             self.chain.finish(event.request_id, now, self._emit)
             self.chain.poll(now, self._emit)
 
--- /dev/null
+++ b/src/lovageway/policies.py
@@ -0,0 +1,97 @@
+"""Ways to choose a backend server for a request: ours, and the baselines it is measured against."""
+
+import random
+from collections.abc import Mapping, Sequence
+from typing import Literal, NamedTuple
+
+from lovageway.controllers.backends import ServerView
+
+PolicyName = Literal["memory", "least_requests", "two_choices", "round_robin"]
+
+AFFINITY = 0.15  # a cached prompt beginning outweighs this much more load, never more
+OTHER_ZONE_COST = 0.02
+OTHER_REGION_COST = 0.1  # traffic between regions is slow and billed by volume
+# Daemons whose views are equal would otherwise all choose the same server until the next report.
+SPREAD = 0.04
+
+
+class Site(NamedTuple):
+    """One server that has credit for the request."""
+
+    view: ServerView
+    pending: int = 0  # memory this daemon took there that the view may not show yet
+    cached: bool = False  # the same prompt beginning was sent there recently
+    distance: float = 0.0  # zone or region cost
+
+
+class Policy:
+    """Chooses one of several sites; `uses_memory` tells whether credit for memory is needed."""
+
+    uses_memory = False
+
+    def choose(self, service: str, sites: Sequence[Site], rng: random.Random) -> Site:
+        """Return one of `sites`, which is not empty."""
+        raise NotImplementedError
+
+
+class Memory(Policy):
+    """Ours: the lowest committed share of memory, with affinity and the cost of distance."""
+
+    uses_memory = True
+
+    def choose(self, service: str, sites: Sequence[Site], rng: random.Random) -> Site:
+        """Return the site with the lowest cost, give or take `SPREAD`."""
+        return min(sites, key=lambda site: cost(site) + SPREAD * rng.random())
+
+
+class LeastRequests(Policy):
+    """Baseline: the fewest requests of this daemon in flight, ties at random."""
+
+    def choose(self, service: str, sites: Sequence[Site], rng: random.Random) -> Site:
+        """Return the site with the fewest requests in flight."""
+        return min(sites, key=lambda site: (site.view.in_flight, rng.random()))
+
+
+class TwoChoices(Policy):
+    """Baseline: the shorter queue of two servers drawn at random."""
+
+    def choose(self, service: str, sites: Sequence[Site], rng: random.Random) -> Site:
+        """Return the better of two random sites."""
+        drawn = rng.sample(sites, min(2, len(sites)))
+        return min(drawn, key=lambda site: site.view.in_flight)
+
+
+class RoundRobin(Policy):
+    """Baseline: one server after another in the order of their ids."""
+
+    def __init__(self) -> None:
+        self._last: dict[str, str] = {}
+
+    def choose(self, service: str, sites: Sequence[Site], rng: random.Random) -> Site:
+        """Return the site that follows the one chosen last."""
+        last = self._last.get(service, "")
+        order = sorted(sites, key=lambda site: site.view.vm.vm_id)
+        found = next((site for site in order if site.view.vm.vm_id > last), order[0])
+        self._last[service] = found.view.vm.vm_id
+        return found
+
+
+POLICIES: Mapping[PolicyName, type[Policy]] = {
+    "memory": Memory,
+    "least_requests": LeastRequests,
+    "two_choices": TwoChoices,
+    "round_robin": RoundRobin,
+}
+
+
+def cost(site: Site) -> float:
+    """Return the cost of a site: its load as a share of the whole, corrected.
+
+    For a server without KV memory the load is the share of its requests.
+    """
+    view = site.view
+    if view.memory_capacity:
+        load = (view.memory_committed + site.pending) / view.memory_capacity
+    else:
+        load = view.in_flight / max(1, view.limit)
+    return load - AFFINITY * site.cached + site.distance
--- a/src/lovageway/settings.py
+++ b/src/lovageway/settings.py
@@ -7,6 +7,8 @@
 from expression import Error, Ok, Result
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from lovageway.policies import PolicyName
+
 HostPort = Annotated[str, Field(pattern=r"^[0-9A-Fa-f.:\[\]]+:\d{1,5}$")]
 
 
@@ -34,6 +36,16 @@
     vm_list_url: str = Field(pattern=r"^https?://", description="URL of the VM list.")
 
 
+class RoutingSettings(_Section):
+    """How backend servers are chosen."""
+
+    policy: PolicyName = Field(
+        default="memory",
+        description="Measurement aid: the other policies are baselines for bench/routing.py and "
+        "ignore KV memory.",
+    )
+
+
 class KeySettings(_Section):
     """Files that hold secrets; each file holds one secret, surrounding white space is dropped."""
 
@@ -51,6 +63,7 @@
     daemon: DaemonSettings
     platform: PlatformSettings
     keys: KeySettings
+    routing: RoutingSettings = RoutingSettings()
 
 
 class Problem(NamedTuple):
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -1,9 +1,16 @@
-"""Stand-in for a model engine: continuous batching, memory for each token, preemption, resume.
+"""Stand-in for a model engine: continuous batching, KV memory, prefix cache, preemption, resume.
 
 The prompt decides what happens: ``len=N`` gives the number of output tokens, ``poison``
 ends the process.
 A process that has just started bears `--cold-slots` requests, rising to `--slots` over `--ramp`
 seconds; one request more ends it.
+
+The model of a step: every sequence whose prompt is computed gets one token. The step takes
+`--step-ms` (reading the weights), up to a quarter more for the batch size and up to three quarters
+more for reading KV memory, plus the computation of waiting prompts, at most `--chunk` tokens.
+When memory is full in the middle of decoding, the least urgent and then latest sequence is
+preempted: its memory is dropped and all its tokens but a cached prefix are computed again later.
+``GET /stats`` counts preemptions and stall time (preempted until the next token) by priority.
 """
 
 import json
@@ -12,11 +19,15 @@
 import secrets
 import threading
 import time
+from collections import Counter, OrderedDict, deque
 
 from tests.standins.web import Reply, parser, serve
 
 KEEP_S = 10.0  # a generation without a reader is dropped after this time
-PREFILL_TOKENS_PER_S = 20000
+BLOCK_CHARS = 256  # unit of the prefix cache
+CHARS_PER_TOKEN = 4
+WATERMARK = 0.99  # a sequence joins the batch only below this part of the memory
+HISTORY_S = 0.02  # distance of the load reports kept for --load-lag
 
 
 class Sequence:
@@ -26,11 +37,14 @@
         wanted = int(found[1]) if found else 16 + len(prompt) % 16
         self.name = name
         self.wanted = min(wanted, body["max_tokens"])
-        self.prompt_tokens = len(prompt) // 4 + 1
+        self.prompt_tokens = len(prompt) // CHARS_PER_TOKEN + 1
+        whole = len(prompt) // BLOCK_CHARS
+        self.blocks = [hash(prompt[: (n + 1) * BLOCK_CHARS]) for n in range(whole)]
         self.priority = body.get("priority", 0)
         self.poison = "poison" in prompt
         self.arrived = arrived
         self.done = 0  # tokens decoded
+        self.left = 0  # tokens to compute before the next one is decoded
         self.seen = arrived  # when a reader last took a token
         self.cancelled = False
         self.preempted_at = None
@@ -39,6 +53,25 @@
         return self.prompt_tokens + self.done
 
 
+class PrefixCache:
+    """Least recently used blocks of prompts; lives in memory that sequences do not use."""
+
+    def __init__(self, tokens):
+        self.size = tokens * CHARS_PER_TOKEN // BLOCK_CHARS
+        self.blocks = OrderedDict()
+
+    def hit(self, seq):
+        """Return the prompt tokens that need no computation, and keep the prompt's blocks."""
+        count = next((n for n, key in enumerate(seq.blocks) if key not in self.blocks), None)
+        count = len(seq.blocks) if count is None else count
+        for key in seq.blocks:
+            self.blocks[key] = True
+            self.blocks.move_to_end(key)
+        while len(self.blocks) > self.size:
+            self.blocks.popitem(last=False)
+        return count * BLOCK_CHARS // CHARS_PER_TOKEN
+
+
 class Engine:
     def __init__(self, args):
         self.args = args
@@ -48,67 +81,91 @@
         self.sequences = {}
         self.running = []
         self.waiting = []
-        self.preemptions = 0
-        self.stall_s = 0.0
+        self.cache = PrefixCache(args.cache)
+        self.preemptions = Counter()  # by priority
+        self.stall_s = Counter()
+        self.totals = Counter()
         self.orders = []
         self.fencing = 0
         self.state = "ready"
+        self.reports = deque([(0.0, self.report())])
         threading.Thread(target=self.decode, daemon=True).start()
 
     def bears(self):
         part = min(1.0, (time.monotonic() - self.started) / max(self.args.ramp, 0.001))
         return max(self.args.cold_slots, int(self.args.slots * part))
 
+    def used(self):
+        return sum(seq.memory() for seq in self.running)
+
     def decode(self):
-        """Run one step after another; each running sequence gets one token a step."""
+        """Run one step after another."""
         while True:
             with self.cond:
-                prefill = self.admit()
-                busy = len(self.running)
-                if not busy:
+                self.admit()
+                self.remember()
+                if not self.running:
                     self.cond.wait(0.05)
                     self.expire()
                     continue
-            step = self.args.step_ms * (1 + busy / self.args.slots) / 1000
-            time.sleep(step + prefill / PREFILL_TOKENS_PER_S)
+                duration = self.step_s(self.compute_prompts())
+            time.sleep(duration)
             with self.cond:
                 self.step()
                 self.expire()
                 self.cond.notify_all()
 
+    def step_s(self, prompt_tokens):
+        batch = len(self.running) / self.args.slots
+        memory = min(1.0, self.used() / self.args.memory)
+        decode = self.args.step_ms / 1000 * (1 + 0.25 * batch + 0.75 * memory)
+        self.totals["steps"] += 1
+        self.totals["prompt_tokens_computed"] += prompt_tokens
+        return decode + prompt_tokens / self.args.prefill_per_s
+
     def admit(self):
-        """Move waiting sequences into the batch; returns the prompt tokens to compute."""
-        prefill = 0
+        """Move waiting sequences into the batch."""
         self.waiting.sort(key=lambda seq: (seq.priority, seq.arrived))
-        used = sum(seq.memory() for seq in self.running)
+        used = self.used()
         while self.waiting and len(self.running) < self.args.slots:
             seq = self.waiting[0]
-            if used + seq.memory() > self.args.memory and self.running:
+            if used + seq.memory() > self.args.memory * WATERMARK and self.running:
                 break
             self.waiting.pop(0)
-            if seq.preempted_at is not None:
-                self.stall_s += time.monotonic() - seq.preempted_at
-                seq.preempted_at = None
             if seq.poison:
                 os._exit(1)
             self.running.append(seq)
             used += seq.memory()
-            prefill += seq.memory()
-        return prefill
+            hit = self.cache.hit(seq)
+            seq.left = max(1, seq.memory() - hit)
+            self.totals["prompt_tokens_cached"] += hit
+
+    def compute_prompts(self):
+        """Compute up to a chunk of prompt tokens and return how many."""
+        room = self.args.chunk
+        for seq in self.running:
+            part = min(room, seq.left)
+            seq.left -= part
+            room -= part
+        return self.args.chunk - room
 
     def step(self):
+        now = time.monotonic()
         for seq in list(self.running):
+            if seq.left:
+                continue
             seq.done += 1
+            if seq.preempted_at is not None:
+                self.stall_s[seq.priority] += now - seq.preempted_at
+                seq.preempted_at = None
             if seq.done >= seq.wanted or seq.cancelled:
                 self.running.remove(seq)
-        while (
-            sum(seq.memory() for seq in self.running) > self.args.memory and len(self.running) > 1
-        ):
+        while self.used() > self.args.memory and len(self.running) > 1:
             seq = max(self.running, key=lambda seq: (seq.priority, seq.arrived))
             self.running.remove(seq)
-            seq.preempted_at = time.monotonic()
+            seq.preempted_at = seq.preempted_at or now
             self.waiting.append(seq)
-            self.preemptions += 1
+            self.preemptions[seq.priority] += 1
 
     def expire(self):
         old = time.monotonic() - KEEP_S
@@ -127,6 +184,8 @@
         match method, parts:
             case "GET", ["load"]:
                 return Reply(200, self.load(), headers)
+            case "GET", ["stats"]:
+                return Reply(200, self.stats(), headers)
             case "POST", ["control"]:
                 self.state = json.loads(data).get("state", self.state)
                 return Reply(200, {"orders": self.orders}, headers)
@@ -143,18 +202,40 @@
                 return Reply(200, {}, headers)
         return Reply(404, {}, headers)
 
+    def report(self):
+        return {
+            "start_id": self.start_id,
+            "running": len(self.running),
+            "waiting": len(self.waiting),
+            "memory_used": self.used(),
+            "memory_capacity": self.args.memory,
+            "state": self.state,
+            "preemptions": self.preemptions.total(),
+            "stall_ms": self.stall_s.total() * 1000,
+        }
+
+    def remember(self):
+        """Keep reports for as long as the lag lasts."""
+        now = time.monotonic()
+        if self.args.load_lag and now - self.reports[-1][0] >= HISTORY_S:
+            self.reports.append((now, self.report()))
+            while len(self.reports) > 1 and self.reports[1][0] <= now - self.args.load_lag:
+                self.reports.popleft()
+
     def load(self):
         with self.cond:
-            return {
-                "start_id": self.start_id,
-                "running": len(self.running),
-                "waiting": len(self.waiting),
-                "memory_used": sum(seq.memory() for seq in self.running),
-                "memory_capacity": self.args.memory,
-                "state": self.state,
-                "preemptions": self.preemptions,
-                "stall_ms": self.stall_s * 1000,
-            }
+            if not self.args.load_lag:
+                return self.report()
+            self.remember()
+            return {**self.reports[0][1], "state": self.state}
+
+    def stats(self):
+        with self.cond:
+            now, stall = time.monotonic(), Counter(self.stall_s)
+            for seq in self.waiting + self.running:
+                if seq.preempted_at is not None:
+                    stall[seq.priority] += now - seq.preempted_at
+            return {"preemptions": self.preemptions, "stall_s": stall, **self.totals}
 
     def order(self, order, headers):
         with self.cond:
@@ -189,14 +270,12 @@
         yield b": accepted\n\n"
         while offset < seq.wanted and not seq.cancelled:
             with self.cond:
-                while seq.done <= offset and not seq.cancelled:
-                    self.cond.wait(1.0)
-                    seq.seen = time.monotonic()
+                self.cond.wait_for(lambda at=offset: seq.done > at or seq.cancelled, 1.0)
                 ready = range(offset, seq.done)
-            lines = [self.event(seq, number) for number in ready]
-            offset = ready.stop
             seq.seen = time.monotonic()
-            yield b"".join(lines)
+            # The comment shows that the link is alive while the sequence waits.
+            yield b"".join(self.event(seq, number) for number in ready) or b": waiting\n\n"
+            offset = max(offset, ready.stop)
         yield b"data: [DONE]\n\n"
 
     @staticmethod
@@ -211,8 +290,12 @@
     options.add_argument("--slots", type=int, default=16)
     options.add_argument("--cold-slots", type=int, default=2)
     options.add_argument("--ramp", type=float, default=0.0)
-    options.add_argument("--memory", type=int, default=16000)
+    options.add_argument("--memory", type=int, default=16000, help="tokens of KV memory")
     options.add_argument("--step-ms", type=float, default=10.0)
     options.add_argument("--check-fencing", action="store_true")
+    options.add_argument("--prefill-per-s", type=float, default=20000.0)
+    options.add_argument("--chunk", type=int, default=2048)
+    options.add_argument("--cache", type=int, default=4096, help="tokens of cached prompts")
+    options.add_argument("--load-lag", type=float, default=0.0)
     args = options.parse_args()
     serve(Engine(args).handle, args.listen, threads=300)
