--- /dev/null
+++ b/bench/routing.py
@@ -0,0 +1,204 @@
+"""Measures routing policies against the same arrivals: ``python -m bench.routing --help``.
+
+Each policy gets a fresh fleet of daemons and engine stand-ins. Figures by class: goodput, refusals,
+preemptions and stall time at the engines, time between tokens and to the first token at the caller.
+Requests that arrive during the warm-up are not counted.
+"""
+
+import argparse
+import json
+import os
+import subprocess
+import sys
+import time
+from collections import Counter
+from pathlib import Path
+
+from tests.fleet import Fleet, http
+
+from bench.workload import DEPLOYMENTS, arrivals, start
+
+POLICIES = ("least_requests", "round_robin", "two_choices", "memory")
+PRIORITIES = {"short": "0", "long": "10"}
+CLIENTS = 2
+START_DELAY_S = 2.0
+
+
+def engine_stats(fleet):
+    """Return preemptions and stall seconds by priority over all engines."""
+    total = {"preemptions": Counter(), "stall_s": Counter(), "other": Counter()}
+    for vm in fleet.vms.values():
+        if vm["role"] == "backend":
+            resp = http.request("GET", f"http://{vm['address']}/stats")
+            if resp.status == 200:
+                found = json.loads(resp.data)
+                total["preemptions"].update(found.pop("preemptions"))
+                total["stall_s"].update(found.pop("stall_s"))
+                total["other"].update(found)
+    return total
+
+
+def cpu_s(fleet):
+    """Return the processor seconds that the fleet's processes have used."""
+    ticks = 0
+    for process in fleet.processes:
+        try:
+            text = Path(f"/proc/{process.popen.pid}/stat").read_text()
+        except OSError:
+            continue
+        ticks += sum(map(int, text.rpartition(")")[2].split()[11:13]))
+    return ticks / os.sysconf("SC_CLK_TCK")
+
+
+def measure(dep, policy, plan, args):
+    """Run one policy on a fresh fleet; returns results and engine figures."""
+    with Fleet() as fleet:
+        start(fleet, dep, args.daemons, policy)
+        begin = time.monotonic() + START_DELAY_S
+        end_s = args.warmup + args.seconds + args.drain
+        shared = {"plain": dep.plain, "engine": dep.engine, "start": begin, "end_s": end_s}
+        shared["daemons"] = [item.address for item in fleet.daemons.values()]
+        clients = []
+        for number in range(CLIENTS):
+            part = [item._asdict() for item in plan[number::CLIENTS]]
+            client = subprocess.Popen(
+                [sys.executable, "-m", "bench.client"],
+                stdin=subprocess.PIPE,
+                stdout=subprocess.PIPE,
+            )
+            client.stdin.write(json.dumps({**shared, "arrivals": part}).encode())
+            client.stdin.close()
+            clients.append(client)
+        time.sleep(max(0.0, begin + args.warmup - time.monotonic()))
+        before, cpu_before, at = engine_stats(fleet), cpu_s(fleet), time.monotonic()
+        results = [item for client in clients for item in json.load(client.stdout)]
+        for client in clients:
+            client.stdout.close()
+            client.wait()
+        after = engine_stats(fleet)
+        dead = [name for name, item in zip(fleet.vms, fleet.processes[1:], strict=True)
+                if item.popen.poll() is not None]  # fmt: skip
+        return {
+            "results": [item for item in results if item["at"] >= args.warmup],
+            "lags": [item["lag_s"] for item in results],
+            "preemptions": after["preemptions"] - before["preemptions"],
+            "stall_s": after["stall_s"] - before["stall_s"],
+            "engine": after["other"] - before["other"],
+            "cores": (cpu_s(fleet) - cpu_before) / (time.monotonic() - at),
+            "dead": dead,
+        }
+
+
+def quantile(values, part):
+    """Return a quantile, nan when there are no values."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(part * len(ordered)))] if ordered else float("nan")
+
+
+def row(run, kind, seconds):
+    """Return the figures of one kind of request in one run."""
+    found = [item for item in run["results"] if item["kind"] == kind]
+    outcomes = Counter(item["outcome"] for item in found)
+    gaps = [gap * 1000 for item in found for gap in item["gaps"]]
+    firsts = [item["total_s"] if kind == "call" else item["first_s"] for item in found]
+    firsts = [first * 1000 for first in firsts if first is not None]
+    done = [item for item in found if item["outcome"] == "done"]
+    priority = PRIORITIES.get(kind, "")
+    return {
+        "offered": len(found),
+        "done": len(done),
+        "refused": sum(count for name, count in outcomes.items() if name in REFUSED),
+        "other": sum(outcomes.values()) - len(done)
+        - sum(count for name, count in outcomes.items() if name in REFUSED),
+        "tok/s": sum(item["tokens"] for item in done) / seconds,
+        "preempt": run["preemptions"][priority],
+        "stall s": run["stall_s"][priority],
+        "gap p50": quantile(gaps, 0.5),
+        "gap p99": quantile(gaps, 0.99),
+        "first p50": quantile(firsts, 0.5),
+        "first p99": quantile(firsts, 0.99),
+    }  # fmt: skip
+
+
+REFUSED = ("QUEUE_FULL", "WAITED_TOO_LONG", "NO_SERVER", "SHARE_UNAVAILABLE", "CONCURRENCY")
+RATIOS = ("tok/s", "preempt", "stall s", "gap p50", "gap p99", "first p50", "first p99")
+
+
+def show(rows, title):
+    """Print a table of figures by policy and kind, and the ratios to least requests."""
+    names = list(next(iter(rows.values())))
+    print(f"\n{title}\n")
+    print("| policy | kind | " + " | ".join(names) + " |")
+    print("|---" * (len(names) + 2) + "|")
+    for (policy, kind), figures in rows.items():
+        cells = [
+            f"{value:.1f}" if isinstance(value, float) else value for value in figures.values()
+        ]
+        print(f"| {policy} | {kind} | " + " | ".join(map(str, cells)) + " |")
+    print("\nRatio to least_requests:\n")
+    print("| policy | kind | " + " | ".join(RATIOS) + " |")
+    print("|---" * (len(RATIOS) + 2) + "|")
+    for (policy, kind), figures in rows.items():
+        base = rows.get(("least_requests", kind))
+        if policy != "least_requests" and base:
+            cells = [f"{figures[n] / base[n]:.2f}" if base[n] else "-" for n in RATIOS]
+            print(f"| {policy} | {kind} | " + " | ".join(cells) + " |")
+
+
+def pool(runs):
+    """Return one run with the results of all seeds."""
+    return {
+        "results": [item for run in runs for item in run["results"]],
+        "preemptions": sum((run["preemptions"] for run in runs), Counter()),
+        "stall_s": sum((run["stall_s"] for run in runs), Counter()),
+    }
+
+
+def bench(name, args):
+    """Run every policy with every seed on one deployment and print the table."""
+    dep = DEPLOYMENTS[name]
+    print(f"\n## {name}: {dep}")
+    runs = {policy: [] for policy in args.policies}
+    for seed in args.seeds:
+        plan = arrivals(dep, args.warmup + args.seconds, args.daemons, seed, args.scale)
+        for policy in args.policies:
+            load = os.getloadavg()[0]
+            run = measure(dep, policy, plan, args)
+            runs[policy].append(run)
+            lag = [quantile(run["lags"], part) * 1000 for part in (0.5, 0.99, 1.0)]
+            outcomes = dict(Counter(item["outcome"] for item in run["results"]))
+            print(
+                f"- seed {seed}, {policy}: {len(run['results'])} counted, {outcomes}; client lag "
+                f"p50/p99/max {lag[0]:.1f}/{lag[1]:.1f}/{lag[2]:.1f} ms; fleet used "
+                f"{run['cores']:.1f} cores; load average before/after {load:.1f}/"
+                f"{os.getloadavg()[0]:.1f}; engines {dict(run['engine'])}; ended: {run['dead']}",
+                flush=True,
+            )
+    seconds = args.seconds * len(args.seeds)
+    rows = {
+        (policy, kind): row(pool(found), kind, seconds)
+        for kind in ("long", "short", "call")
+        for policy, found in runs.items()
+    }
+    show(rows, f"{name}, seeds {args.seeds}, {args.seconds} s each (times in ms)")
+
+
+def main():
+    """Parse arguments and run."""
+    options = argparse.ArgumentParser(description=__doc__)
+    options.add_argument("--deployments", nargs="+", default=list(DEPLOYMENTS))
+    options.add_argument("--policies", nargs="+", default=list(POLICIES), choices=POLICIES)
+    options.add_argument("--seeds", nargs="+", type=int, default=[1, 2])
+    options.add_argument("--daemons", type=int, default=3)
+    options.add_argument("--warmup", type=float, default=10.0)
+    options.add_argument("--seconds", type=float, default=30.0)
+    options.add_argument("--drain", type=float, default=15.0)
+    options.add_argument("--scale", type=float, default=1.0, help="factor on all arrival rates")
+    args = options.parse_args()
+    print(f"parameters: {vars(args)}, {os.cpu_count()} processors")
+    for name in args.deployments:
+        bench(name, args)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/lovageway/adapters/callers.py
+++ b/src/lovageway/adapters/callers.py
@@ -288,7 +288,9 @@
 
 def build_server(app: Any, host: str, port: int, threads: int) -> wsgi.Server:
     """Return a cheroot server for a WSGI application, bound by `prepare()`."""
-    server = wsgi.Server((host, port), app, numthreads=min(10, threads), max=threads)
+    # cheroot never adds threads by itself: with fewer at the start, further requests would wait in
+    # its own queue, where neither class nor deadline counts.
+    server = wsgi.Server((host, port), app, numthreads=threads, max=threads)
     server.max_request_header_size = MAX_HEADER_BYTES
     server.max_request_body_size = MAX_BODY_BYTES
     server.shutdown_timeout = 5
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -118,8 +118,8 @@
         }
         return process
 
-    def daemon(self, vm_id, zone, **daemon_settings):
-        """Start a daemon and list its VM."""
+    def daemon(self, vm_id, zone, more_lines=(), **daemon_settings):
+        """Start a daemon and list its VM; `more_lines` follow at the end of its settings."""
         path = self.dir / f"{vm_id}.toml"
         lines = ["[daemon]", f'vm_id = "{vm_id}"', f'zone = "{zone}"']
         lines += [f"{name} = {json.dumps(value)}" for name, value in daemon_settings.items()]
@@ -127,7 +127,7 @@
         lines += [f'vm_list_url = "http://{self.platform.address}/v1/vms"', "[keys]"]
         lines += [f'peer_key_files = ["{self.dir}/peer.key"]']
         lines += [f'operator_key_files = ["{self.dir}/operator.key"]']
-        path.write_text("\n".join(lines) + "\n")
+        path.write_text("\n".join([*lines, *more_lines]) + "\n")
         process = self._start([*self.command, "serve", "--config", str(path)])
         self.daemons[vm_id] = process
         self.vms[vm_id] = {
--- a/tests/standins/web.py
+++ b/tests/standins/web.py
@@ -40,7 +40,7 @@
 def serve(handle, listen, threads=100):
     """Serve until SIGTERM; prints the address as one line of JSON."""
     host, _, port = listen.rpartition(":")
-    server = wsgi.Server((host, int(port)), Web(handle), numthreads=10, max=threads)
+    server = wsgi.Server((host, int(port)), Web(handle), numthreads=threads, max=threads)
     server.shutdown_timeout = 0
     server.prepare()
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
