--- a/src/lovageway/filters/routing.py
+++ b/src/lovageway/filters/routing.py
@@ -37,7 +37,6 @@
 
     memory: int = 0
     batch_slots: int = 0
-    batch_memory: int = 0
 
 
 _NOTHING = _Own()
@@ -139,11 +138,7 @@
 
     def _add(self, held: _Held, slots: int, memory: int) -> None:
         own = self._own.get(held.server_id, _NOTHING)
-        own = _Own(
-            own.memory + memory,
-            own.batch_slots + slots * held.batch,
-            own.batch_memory + memory * held.batch,
-        )
+        own = _Own(own.memory + memory, own.batch_slots + slots * held.batch)
         if own == _NOTHING:
             self._own.pop(held.server_id, None)
         else:
@@ -184,8 +179,8 @@
 def fits(view: ServerView, memory: int, batch: bool, own: _Own) -> bool:
     """Tell whether a server has credit for a request that is charged `memory`.
 
-    Batch requests leave a part of this daemon's grant to interactive ones; one slot is always
-    theirs, so that a server that has just started serves both.
+    A batch request is let in only if a part of this daemon's grant stays free for interactive ones
+    after it. One slot is always open to both, so that a server that has just started serves both.
     """
     if view.slots_free < 1:
         return False
@@ -196,5 +191,7 @@
         return True
     if view.memory_free < memory:
         return False
+    # What interactive requests hold counts too: charges grow, and a limit on batch memory alone
+    # left no room for the next interactive request.
     grant = view.memory_free + own.memory
-    return not batch or own.batch_memory + memory <= grant * BATCH_PART
+    return not batch or own.memory + memory <= grant * BATCH_PART
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,153 @@
+"""Choice among servers: credit, headroom, growth, spreading, affinity and the baselines."""
+
+import random
+import unittest
+from collections import Counter
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lovageway.filters import routing
+from lovageway.policies import LeastRequests, RoundRobin, TwoChoices
+from tests.credits import Bench
+
+STEPS = st.lists(
+    st.tuples(st.sampled_from(["batch", "interactive", "deliver", "end", "leave"]), st.integers()),
+    max_size=80,
+)
+
+
+def random_run(bench, steps):
+    """Apply random arrivals, deliveries and ends; `Credits` checks each take."""
+    open_ids, now = [], 0.0
+    for action, number in steps:
+        now += 0.1
+        open_ids = [name for name in open_ids if bench.chain.get(name)]
+        if action in ("batch", "interactive"):
+            open_ids.append(bench.arrive(now, action, max_tokens=number % 3000 + 1))
+        elif open_ids:
+            name = open_ids[number % len(open_ids)]
+            if action == "leave":
+                bench.chain.finish(name, now, bench.emit)
+            elif bench.server(name) and action == "end":
+                bench.end(name, now)
+            elif bench.server(name):
+                bench.deliver(name, bench.chain.get(name).delivered + number % 400 + 1, now)
+        bench.chain.poll(now, bench.emit)
+    return [name for name in open_ids if bench.chain.get(name)], now
+
+
+class Credit(unittest.TestCase):
+    @settings(derandomize=True, deadline=None, max_examples=150)
+    @given(STEPS, st.integers(0, 1000))
+    def test_charges_exceed_grants_only_by_growth_and_are_given_back(self, steps, seed):
+        # Guards against starting a request without credit and against leaked credit.
+        bench = Bench(random.Random(seed), servers=2, slots=4, memory=3000)
+        open_ids, now = random_run(bench, steps)
+        for name in open_ids:
+            bench.chain.finish(name, now, bench.emit)
+        self.assertEqual(set(map(tuple, bench.credits.held.values())), {(0, 0)})
+
+    def test_batch_leaves_headroom_to_interactive(self):
+        # Guards against summaries that take the last slot or memory from readiness checks.
+        for limits in ({"slots": 8, "memory": 100000}, {"slots": 100, "memory": 6000}):
+            bench = Bench(random.Random(1), servers=2, **limits)
+            batch = [bench.arrive(0.0) for _ in range(60)]
+            self.assertIn("", map(bench.server, batch))
+            self.assertTrue(bench.server(bench.arrive(0.1, "interactive", max_tokens=32)))
+
+    def test_a_server_with_one_slot_serves_batch(self):
+        # Guards against batch work that no cold server ever takes.
+        bench = Bench(random.Random(1), servers=1, slots=1)
+        self.assertTrue(bench.server(bench.arrive(0.0)))
+
+    def test_the_charge_grows_with_the_output(self):
+        # Guards against a long generation that stays charged as an average one.
+        bench = Bench(random.Random(1), servers=1)
+        for _ in range(200):
+            bench.lengths.observe("clerks", "crock-llm", "batch", 100, False)
+        name = bench.arrive(0.0, max_tokens=5000)
+        before = bench.credits.held["crock-0"][1]
+        self.assertLess(before, 350)
+        bench.deliver(name, 2000, 1.0)
+        self.assertGreater(bench.credits.held["crock-0"][1], 2100)
+        bench.end(name, 2.0)
+        self.assertEqual(bench.credits.held["crock-0"], [0, 0])
+
+
+class Choice(unittest.TestCase):
+    def test_daemons_with_equal_lagging_views_spread_their_requests(self):
+        # Guards against herding: all daemons choose the server that the last reports favour.
+        chosen = Counter()
+        for seed in range(60):
+            bench = Bench(random.Random(seed), servers=6, fresh=False)
+            chosen[bench.server(bench.arrive(0.0))] += 1
+        self.assertEqual(len(chosen), 6)
+        self.assertLess(max(chosen.values()), 60 * 0.4)
+
+    def test_own_requests_count_before_the_next_report(self):
+        # Guards against a burst at one daemon that goes to one server until the next report.
+        bench = Bench(random.Random(2), servers=6, memory=10000, fresh=False)
+        chosen = Counter(bench.server(bench.arrive(0.01 * n)) for n in range(24))
+        self.assertEqual(len(chosen), 6)
+        self.assertLessEqual(max(chosen.values()), 6)
+
+    def test_affinity_holds_up_to_its_bound(self):
+        # Guards against both: losing the prefix cache, and piling load onto one server for it.
+        bench = Bench(random.Random(3), servers=4, memory=100000)
+        first = bench.server(bench.arrive(0.0, prefix="p"))
+        bench.credits.committed[first] = 8000
+        self.assertEqual(bench.server(bench.arrive(1.0, prefix="p")), first)
+        bench.credits.committed[first] = 25000
+        self.assertNotEqual(bench.server(bench.arrive(2.0, prefix="p")), first)
+
+    def test_a_restarted_server_has_no_affinity(self):
+        # Guards against sending work to a server for a cache that it lost.
+        bench = Bench(random.Random(3), servers=4, memory=100000)
+        first = bench.server(bench.arrive(0.0, prefix="p"))
+        bench.credits.start_ids[first] = "b"
+        bench.credits.committed[first] = 8000
+        self.assertNotEqual(bench.server(bench.arrive(1.0, prefix="p")), first)
+
+    def test_remembered_prefixes_are_bounded(self):
+        # Guards against memory that grows with every prompt ever seen.
+        bench = Bench(random.Random(3), servers=1, slots=10**6, memory=10**9)
+        for number in range(routing.MAX_PREFIXES + 50):
+            bench.end(bench.arrive(0.0, prefix=f"p{number}"), 0.0)
+        self.assertEqual(len(bench.routing._prefixes), routing.MAX_PREFIXES)
+
+    def test_the_own_zone_is_preferred_at_equal_load(self):
+        # Guards against paying for traffic between regions when the own one has room.
+        zones = ("khangai", "gobi", "selenge")
+        bench = Bench(random.Random(4), servers=3, memory=100000, zones=zones)
+        chosen = {bench.server(bench.arrive(float(n))) for n in range(5)}
+        self.assertEqual(chosen, {"crock-0"})
+
+    def test_the_emptier_server_is_preferred(self):
+        # Guards against choosing by number of requests when their memory differs.
+        bench = Bench(random.Random(5), servers=2)
+        bench.credits.committed.update({"crock-0": 6000, "crock-1": 2000})
+        self.assertEqual(bench.server(bench.arrive(0.0)), "crock-1")
+
+
+class Baselines(unittest.TestCase):
+    def test_baselines_charge_no_memory(self):
+        # Guards against a baseline that is helped by our admission.
+        for policy in (RoundRobin(), LeastRequests(), TwoChoices()):
+            bench = Bench(random.Random(6), policy, servers=3, memory=10)
+            names = [bench.arrive(0.0) for _ in range(30)]
+            self.assertTrue(all(map(bench.server, names)))
+            self.assertEqual({held[1] for held in bench.credits.held.values()}, {0})
+
+    def test_round_robin_and_least_requests_are_even(self):
+        # Guards against a baseline that is weaker than the algorithm it is named after.
+        for policy in (RoundRobin(), LeastRequests()):
+            bench = Bench(random.Random(7), policy, servers=3)
+            chosen = Counter(bench.server(bench.arrive(0.0)) for _ in range(30))
+            self.assertEqual(set(chosen.values()), {10})
+
+    def test_two_choices_avoid_the_longest_queue(self):
+        # Guards against a random choice in place of the better of two.
+        bench = Bench(random.Random(8), TwoChoices(), servers=2)
+        bench.credits.held["crock-0"][0] = 50
+        self.assertEqual({bench.server(bench.arrive(0.0)) for _ in range(20)}, {"crock-1"})
