Hold the headroom of batch requests as credit at the holder

Batch requests now hold credit for memory / 0.85; interactive requests use the difference free of charge.

--- a/src/lovageway/filters/admission.py
+++ b/src/lovageway/filters/admission.py
@@ -72,7 +72,7 @@
     Parameters
     ----------
     backends
-        Learns of demand that found no credit.
+        Capacity of the servers.
     lengths
         Predicts output lengths; learns from requests that end.
     routing
@@ -102,20 +102,21 @@
         lane = self._lane(ctx.req.service, ctx.request_class)
         lane.drain.advance(now, bool(lane.waiting))
         queued = request_id in lane.waiting
-        memory = lane.waiting[request_id] if queued else self._charge(ctx, now)
-        if self._has_turn(ctx, lane) and self._routing.options(ctx, memory, now):
+        turn = self._has_turn(ctx, lane)
+        memory = self._charge(ctx, now) if turn or not queued else lane.waiting[request_id]
+        if turn and self._routing.options(ctx, memory, now):
             if queued:
                 del lane.waiting[request_id]
                 lane.drain.serve(memory or 1)
             return Ok(ctx._replace(memory=memory))
-        self._backends.want(ctx.req.service, request_id, memory, now)
+        self._routing.want(ctx, memory, now)
         if not queued:
             refusal = self._overload(ctx, lane, memory)
             if refusal is not None:
                 emit(Count("queue_refusals", (ctx.request_class,)))
                 return stop(refusal)
             emit(Count("queued", (ctx.request_class,)))
-            lane.waiting[request_id] = memory
+        lane.waiting[request_id] = memory
         return stop(self._wait(ctx, lane, memory, now))
 
     def abandon(self, ctx: Context, now: float, emit: Emit) -> None:
@@ -157,9 +158,9 @@
         output = min(ctx.req.max_tokens, curve.quantile(CHARGE_QUANTILE))
         views = self._backends.credits(ctx.service.name, now)
         capacity = max((view.memory_capacity for view in views), default=0)
-        most = int(capacity * MEMORY_PART * BATCH_PART)
+        most = int((int(capacity * MEMORY_PART) - 2) * BATCH_PART)  # 2: capacity is rounded
         charge = ctx.req.prompt_tokens + output
-        return min(charge, most) if most else charge
+        return min(charge, most) if capacity else charge
 
     def _overload(self, ctx: Context, lane: _Lane, memory: int) -> Refusal | None:
         """Return the refusal of a request whose wait would be too long."""
--- a/src/lovageway/filters/routing.py
+++ b/src/lovageway/filters/routing.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import OrderedDict
+from math import ceil
 from typing import NamedTuple
 
 from expression import Ok
@@ -35,8 +36,23 @@
 class _Own(NamedTuple):
     """What this daemon's requests hold at one server."""
 
-    memory: int = 0
     batch_slots: int = 0
+    batch: int = 0  # tokens charged to batch requests
+    interactive: int = 0
+
+    def plus(self, slots: int, memory: int, batch: bool) -> "_Own":
+        if batch:
+            return _Own(self.batch_slots + slots, self.batch + memory, self.interactive)
+        return self._replace(interactive=self.interactive + memory)
+
+    def credit(self) -> int:
+        """Return the memory credit to hold.
+
+        Batch requests hold credit for a headroom as well, which interactive requests use free of
+        charge. Kept at the holder, the headroom needs no answer of the server's owner, and the sum
+        over all daemons keeps batch within its part of the server.
+        """
+        return max(ceil(self.batch / BATCH_PART), self.batch + self.interactive)
 
 
 _NOTHING = _Own()
@@ -87,12 +103,17 @@
             and fits(view, memory, batch, self._own.get(view.vm.vm_id, _NOTHING))
         ]
 
+    def want(self, ctx: Context, memory: int, now: float) -> None:
+        """Note the need of a request that found no credit."""
+        own = _NOTHING.plus(1, memory, ctx.request_class == BATCH)
+        self._backends.want(ctx.req.service, ctx.req.request_id, own.credit(), now)
+
     def admit(self, ctx: Context, now: float, emit: Emit) -> Verdict:
         """Add server, address and start identity to the context."""
         assert ctx.contract is not None
         views = self.options(ctx, ctx.memory, now)
         if not views:
-            self._backends.want(ctx.req.service, ctx.req.request_id, ctx.memory, now)
+            self.want(ctx, ctx.memory, now)
             refusal = Refusal(Code.NO_SERVER, retry_after_s=NO_SERVER_RETRY_S)
             return stop(Wait(refusal, ctx.arrived + ctx.contract.max_wait_s))
         sites = [self._site(view, ctx, now) for view in views]
@@ -114,35 +135,34 @@
         more = max(0, wanted - held.memory)
         self._held[ctx.req.request_id] = held._replace(memory=held.memory + more, check_at=check_at)
         if more:
-            self._backends.grow(held.server_id, more)
-            self._add(held, 0, more)
+            self._backends.grow(held.server_id, self._add(held, 0, more))
 
     def release(self, ctx: Context, now: float, emit: Emit) -> None:
         """Give the request's slot and memory back."""
         held = self._held.pop(ctx.req.request_id)
-        self._backends.release(held.server_id, 1, held.memory)
-        self._add(held, -1, -held.memory)
+        self._backends.release(held.server_id, 1, -self._add(held, -1, -held.memory))
 
     def _take(self, ctx: Context, view: ServerView, now: float) -> None:
         server_id, batch = view.vm.vm_id, ctx.request_class == BATCH
-        self._backends.take(server_id, 1, ctx.memory)
         # Without a charge (plain services, baselines) nothing grows.
         check_at = 1 if ctx.memory else ctx.req.max_tokens + 1
         held = _Held(server_id, ctx.memory, batch, check_at)
         self._held[ctx.req.request_id] = held
-        self._add(held, 1, ctx.memory)
+        self._backends.take(server_id, 1, self._add(held, 1, ctx.memory))
         if ctx.memory:
             self._pending.setdefault(server_id, []).append((now, ctx.memory))
         if ctx.req.prefix:
             self._remember_prefix(ctx, view, now)
 
-    def _add(self, held: _Held, slots: int, memory: int) -> None:
-        own = self._own.get(held.server_id, _NOTHING)
-        own = _Own(own.memory + memory, own.batch_slots + slots * held.batch)
-        if own == _NOTHING:
+    def _add(self, held: _Held, slots: int, memory: int) -> int:
+        """Add to what is held at a server; returns the change of the credit to hold."""
+        old = self._own.get(held.server_id, _NOTHING)
+        new = old.plus(slots, memory, held.batch)
+        if new == _NOTHING:
             self._own.pop(held.server_id, None)
         else:
-            self._own[held.server_id] = own
+            self._own[held.server_id] = new
+        return new.credit() - old.credit()
 
     def _remember_prefix(self, ctx: Context, view: ServerView, now: float) -> None:
         key = (ctx.req.service, ctx.req.prefix)
@@ -179,8 +199,8 @@
 def fits(view: ServerView, memory: int, batch: bool, own: _Own) -> bool:
     """Tell whether a server has credit for a request that is charged `memory`.
 
-    A batch request is let in only if a part of this daemon's grant stays free for interactive ones
-    after it. One slot is always open to both, so that a server that has just started serves both.
+    Batch requests leave a part of the slots and of the memory to interactive ones. One slot is
+    always open to both, so that a server that has just started serves both.
     """
     if view.slots_free < 1:
         return False
@@ -189,9 +209,4 @@
         return False
     if not view.memory_capacity or not memory:
         return True
-    if view.memory_free < memory:
-        return False
-    # What interactive requests hold counts too: charges grow, and a limit on batch memory alone
-    # left no room for the next interactive request.
-    grant = view.memory_free + own.memory
-    return not batch or own.memory + memory <= grant * BATCH_PART
+    return view.memory_free >= own.plus(1, memory, batch).credit() - own.credit()
