--- a/src/lovageway/adapters/_http.py
+++ b/src/lovageway/adapters/_http.py
@@ -63,7 +63,9 @@
         start_response("503 Service Unavailable", [("Content-Length", "0")])
         return []
 
-    server = _Server((host, port), no_app, numthreads=min(10, threads), max=threads)
+    # cheroot never adds threads by itself: with fewer at the start, further requests would wait in
+    # its own queue, where neither class nor deadline counts.
+    server = _Server((host, port), no_app, numthreads=threads, max=threads)
     server.max_request_header_size = MAX_HEADER_BYTES
     server.max_request_body_size = MAX_BODY_BYTES
     server.timeout = SOCKET_TIMEOUT_S
--- a/src/lovageway/daemon.py
+++ b/src/lovageway/daemon.py
@@ -44,7 +44,7 @@
 from lovageway.messages import Message
 from lovageway.metrics import Metrics
 from lovageway.model import Identity
-from lovageway.node import Node
+from lovageway.node import Node, Options
 from lovageway.runtime import Runtime
 from lovageway.settings import Settings, read_secret
 
@@ -113,9 +113,7 @@
         address = _bound(callers)
         ident = Identity(daemon.vm_id, start_id, daemon.zone, address, self._peers.address)
         self._runtime = Runtime(
-            Node(ident, random.Random(), self._cfg.platform.weight_loads_per_s),
-            time.monotonic,
-            self._perform,
+            Node(ident, random.Random(), self._options()), time.monotonic, self._perform
         )
         operator_keys = [read_secret(path) for path in self._cfg.keys.operator_key_files]
         resume_keys = [read_secret(path) for path in self._cfg.keys.resume_key_files]
@@ -133,6 +131,10 @@
         print(json.dumps(ready), flush=True)
         log.info("serving", vm_id=daemon.vm_id, start_id=start_id, **ready)
 
+    def _options(self) -> Options:
+        cfg = self._cfg
+        return Options(cfg.routing.policy, cfg.platform.weight_loads_per_s)
+
     async def _tick(self) -> None:
         while True:
             self._runtime.submit(Tick())
--- a/src/lovageway/metrics.py
+++ b/src/lovageway/metrics.py
@@ -11,7 +11,13 @@
     "generations_cancelled": ("Generations cancelled after their caller had gone.", ()),
     "refusals": ("Refusals sent to callers.", ("code",)),
     "orders_refused": ("Orders that an engine refused for their fencing number.", ()),
+    "queued": ("Requests that waited for credit.", ("request_class",)),
+    "queue_refusals": ("Requests refused since the wait would be too long.", ("request_class",)),
     "stops": ("Planned stops begun.", ()),
+    "share_lines": ("Lines of requests for shares sent to owners.", ()),
+    "grant_lines": ("Lines of grants sent to holders.", ()),
+    "limited": ("Requests refused or delayed by a limit of their contract.", ("part",)),
+    "server_news": ("Reports on start identities and overload sent to owners.", ()),
     "peer_errors": ("Peer connections dropped or messages lost.", ("reason",)),
 }
 
--- a/src/lovageway/node.py
+++ b/src/lovageway/node.py
@@ -3,14 +3,17 @@
 import random
 from collections import OrderedDict
 from functools import singledispatchmethod
+from typing import NamedTuple
 
 from lovageway.chain import Chain, Context
 from lovageway.codes import Code, Refusal
 from lovageway.controllers.backends import Backends
 from lovageway.controllers.base import Controller
 from lovageway.controllers.configuration import Configuration
+from lovageway.controllers.lengths import Lengths
 from lovageway.controllers.membership import Membership
 from lovageway.controllers.orders import Orders
+from lovageway.controllers.shares import Shares
 from lovageway.controllers.streams import Streams
 from lovageway.events import (
     AttemptFailed,
@@ -34,16 +37,29 @@
     TokensDelivered,
     VmListRead,
 )
+from lovageway.filters.admission import Admission
 from lovageway.filters.attempt import Attempt
 from lovageway.filters.authenticate import Authenticate
+from lovageway.filters.limits import AccountLimits, Limits
 from lovageway.filters.readiness import Readiness
 from lovageway.filters.resumption import Resumption
 from lovageway.filters.routing import Routing
 from lovageway.model import Identity, generation_name
+from lovageway.policies import POLICIES, PolicyName
 
 HISTORY_REQUESTS = 1000
 
 
+class Options(NamedTuple):
+    """What the settings decide about a node."""
+
+    policy: PolicyName = "memory"  # how to choose among servers; the others are baselines
+    weight_loads_per_s: float = 1.0  # what the weight store allows
+
+
+DEFAULT_OPTIONS = Options()
+
+
 class Node:
     """Composes controllers and filters.
 
@@ -53,20 +69,26 @@
         This daemon.
     rng
         The only source of randomness.
-    weight_loads_per_s
-        Loads a second that the weight store allows.
+    options
+        What the settings decide.
     """
 
     def __init__(
-        self, identity: Identity, rng: random.Random, weight_loads_per_s: float = 1.0
+        self, identity: Identity, rng: random.Random, options: Options = DEFAULT_OPTIONS
     ) -> None:
         self.configuration = Configuration()
         self.membership = Membership(identity, rng, self.configuration.status)
-        self.backends = Backends(self.membership, self.configuration)
+        self.shares = Shares(self.membership)
+        self.backends = Backends(self.membership, self.configuration, self.shares)
+        self.shares.register("account", AccountLimits(self.configuration))
+        self.shares.register("server", self.backends)
+        self.lengths = Lengths()
         self._controllers: dict[str, Controller] = {
             "membership": self.membership,
             "configuration": self.configuration,
             "backends": self.backends,
+            "shares": self.shares,
+            "lengths": self.lengths,
         }
         self.streams = Streams(self.membership)
         self._controllers["streams"] = self.streams
@@ -74,7 +96,7 @@
             self.membership,
             lambda: self.configuration.snapshot.orders,
             self.backends.start_id,
-            weight_loads_per_s,
+            options.weight_loads_per_s,
         )
         self._controllers["orders"] = self.orders
         self._attempt = Attempt()
@@ -83,11 +105,17 @@
         self._resumes = Chain(
             [readiness, self.authenticate, Resumption(self.membership, self.streams)]
         )
+        chosen = POLICIES[options.policy]()
+        routing = Routing(
+            self.backends, self.configuration, self.lengths, identity.zone, chosen, rng
+        )
         self.chain = Chain(
             [
                 readiness,
                 self.authenticate,
-                Routing(self.backends),
+                Limits(self.shares),
+                Admission(self.backends, self.lengths, routing, chosen.uses_memory),
+                routing,
                 self._attempt,
             ]
         )
@@ -99,6 +127,8 @@
         """Return the effects of an event at the time `now` (seconds, monotonic)."""
         self._effects = []
         self._on(event, now)
+        if self.shares.flush(now, self._emit):
+            self.chain.poll(now, self._emit)
         for effect in self._effects:
             self._remember(effect, now)
         return self._effects
@@ -150,6 +180,7 @@
         ctx = self.chain.get(event.request_id)
         if ctx is not None and ctx.attempt == event.attempt:
             self.chain.replace(ctx._replace(start_id=event.start_id))
+            self.backends.attempt_started(ctx.server_id, event.start_id, now, self._emit)
 
     @_on.register
     def _(self, event: TokensDelivered, now: float) -> None:
@@ -164,6 +195,7 @@
         if ctx is None or ctx.attempt != event.attempt:
             return
         self._emit(Count("attempts_failed", (event.failure,)))
+        self.backends.attempt_failed(ctx.server_id, event, now, self._emit)
         outcome = self._attempt.failed(ctx, event)
         if outcome.is_ok():
             if ctx.service is not None and ctx.service.kind == "engine":
@@ -179,6 +211,7 @@
         self._resumes.finish(event.request_id, now, self._emit)
         ctx = self.chain.get(event.request_id)
         if ctx is not None and ctx.attempt == event.attempt:
+            self.chain.replace(ctx._replace(finished=True))
             self.chain.finish(event.request_id, now, self._emit)
             self.chain.poll(now, self._emit)
 
--- a/src/lovageway/settings.py
+++ b/src/lovageway/settings.py
@@ -7,6 +7,8 @@
 from expression import Error, Ok, Result
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from lovageway.policies import PolicyName
+
 HostPort = Annotated[str, Field(pattern=r"^[0-9A-Fa-f.:\[\]]+:\d{1,5}$")]
 
 
@@ -37,6 +39,16 @@
     )
 
 
+class RoutingSettings(_Section):
+    """How backend servers are chosen."""
+
+    policy: PolicyName = Field(
+        default="memory",
+        description="Measurement aid: the other policies are baselines for bench/routing.py and "
+        "ignore KV memory.",
+    )
+
+
 class KeySettings(_Section):
     """Files that hold secrets; each file holds one secret, surrounding white space is dropped."""
 
@@ -64,6 +76,7 @@
     platform: PlatformSettings
     keys: KeySettings
     log: LogSettings = Field(default_factory=lambda: LogSettings(form="json"))
+    routing: RoutingSettings = RoutingSettings()
 
 
 class Problem(NamedTuple):
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -121,8 +121,8 @@
         }
         return process
 
-    def daemon(self, vm_id, zone, **daemon_settings):
-        """Start a daemon and list its VM."""
+    def daemon(self, vm_id, zone, more_lines=(), **daemon_settings):
+        """Start a daemon and list its VM; `more_lines` follow at the end of its settings."""
         path = self.dir / f"{vm_id}.toml"
         lines = ["[daemon]", f'vm_id = "{vm_id}"', f'zone = "{zone}"']
         lines += [f"{name} = {json.dumps(value)}" for name, value in daemon_settings.items()]
@@ -131,7 +131,7 @@
         lines += [f'peer_key_files = ["{self.dir}/peer.key"]']
         lines += [f'resume_key_files = ["{self.dir}/resume.key"]']
         lines += [f'operator_key_files = ["{self.dir}/operator.key"]']
-        path.write_text("\n".join(lines) + "\n")
+        path.write_text("\n".join([*lines, *more_lines]) + "\n")
         process = self._start([*self.command, "serve", "--config", str(path)])
         self.daemons[vm_id] = process
         self.vms[vm_id] = {
@@ -162,12 +162,11 @@
         return json.loads(http.request("GET", url, headers=headers).data)
 
     def wait_ready(self):
-        """Wait until every daemon has a configuration and has seen every listed VM."""
-        for process in self.daemons.values():
-            wait_for(lambda process=process: self._ready(process), "a ready daemon")
+        """Wait until every daemon has a configuration and some daemon polls each listed VM."""
+        wait_for(self._ready, "a ready fleet")
 
-    def _ready(self, process):
-        dump = self.admin(process, "/admin/dump")
-        seen = set(dump["backends"]["loads"])
+    def _ready(self):
+        dumps = [self.admin(process, "/admin/dump") for process in self.daemons.values()]
+        seen = {server for dump in dumps for server in dump["backends"]["loads"]}
         backends = {vm_id for vm_id, vm in self.vms.items() if vm["role"] == "backend"}
-        return dump["configuration"]["version"] > 0 and seen >= backends
+        return all(dump["configuration"]["version"] > 0 for dump in dumps) and seen >= backends
