--- a/bench/streams.py
+++ b/bench/streams.py
@@ -34,7 +34,7 @@
     return 0.0
 
 
-async def read_stream(address, number, tokens, gaps):
+async def read_stream(address, number, tokens, gaps, refused):
     """Read one stream and note the gaps between the arrivals of its events, in ms."""
     host, _, port = address.rpartition(":")
     reader, writer = await asyncio.open_connection(host, int(port))
@@ -49,7 +49,10 @@
             if last is not None:
                 gaps.append((now - last) * 1000)
             last = now
-        if b"[DONE]" in data or b'"error"' in data:
+        if b'"error"' in data:
+            refused.append(json.loads(data[data.index(b'{"error"') :].split(b"\r\n")[0]))
+            break
+        if b"[DONE]" in data:
             break
     writer.close()
     return seen
@@ -101,10 +104,12 @@
 
 
 async def load(address, streams, tokens):
-    gaps = []
-    reads = [read_stream(address, number, tokens, gaps) for number in range(streams)]
+    gaps, refused = [], []
+    reads = [read_stream(address, number, tokens, gaps, refused) for number in range(streams)]
     seen = sum(await asyncio.gather(*reads))
     gaps.sort()
+    for refusal in refused[:3]:
+        print(refusal)
     return seen, gaps
 
 
--- a/src/lovageway/adapters/_http.py
+++ b/src/lovageway/adapters/_http.py
@@ -11,6 +11,7 @@
 
 MAX_BODY_BYTES = 1 << 20
 MAX_HEADER_BYTES = 1 << 14
+BACKLOG = 256  # cheroot keeps 5 by default, which resets callers that connect together
 SOCKET_TIMEOUT_S = 10  # also ends callers that send a request byte by byte or do not read
 
 _CODES = {"413": Code.TOO_LARGE, "414": Code.TOO_LARGE}
@@ -69,6 +70,7 @@
     server.max_request_header_size = MAX_HEADER_BYTES
     server.max_request_body_size = MAX_BODY_BYTES
     server.timeout = SOCKET_TIMEOUT_S
+    server.request_queue_size = BACKLOG
     server.shutdown_timeout = 5
     server.on_refusal = on_refusal
     return server
--- a/tests/standins/web.py
+++ b/tests/standins/web.py
@@ -42,6 +42,7 @@
     host, _, port = listen.rpartition(":")
     server = wsgi.Server((host, int(port)), Web(handle), numthreads=threads, max=threads)
     server.shutdown_timeout = 0
+    server.request_queue_size = 256
     server.prepare()
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
     print(json.dumps({"listen": f"{server.bind_addr[0]}:{server.bind_addr[1]}"}), flush=True)
