Accept, spread and check configuration versions as the design describes

Cause: the controller polled all rows each second, accepted nothing and served on whatever it had.

Ruled out: finding an operation by scanning the log (a 0.4 MB read for each doubtful answer); treating "not found yet" as failed (a late transmission may still take effect, so the same transaction is sent again until the head has moved); taking a freshness from an unanswered ping (its time on the way is unknown); starting on a freshness from before the start (a test showed that VM 1 of 3, restarted beside a stale peer, served version 1 although it had held version 2).

--- a/src/lovageway/codes.py
+++ b/src/lovageway/codes.py
@@ -40,6 +40,8 @@
     CONFLICT = 4901
     NOT_ACCEPTED = 4902
     INVALID_CHANGE = 4903
+    OPERATOR_KEY = 4904
+    NOT_FOUND = 4905
 
 
 class CodeInfo(NamedTuple):
@@ -138,6 +140,10 @@
         503, "unknown", "The change could not be confirmed.", "Read the version, then apply anew."
     ),
     Code.INVALID_CHANGE: CodeInfo(400, "no", "The change is not valid.", "Correct it."),
+    Code.OPERATOR_KEY: CodeInfo(
+        401, "no", "The operators' interface needs an operator key.", "Use a valid key."
+    ),
+    Code.NOT_FOUND: CodeInfo(404, "no", "There is no such page or item.", "Correct the path."),
 }
 
 
--- a/src/lovageway/daemon.py
+++ b/src/lovageway/daemon.py
@@ -16,12 +16,13 @@
 from lovageway.adapters._http import build_server
 from lovageway.adapters.callers import Callers
 from lovageway.adapters.engines import Engines
-from lovageway.adapters.operators import Operators
+from lovageway.adapters.operators import MAX_DRAIN_BYTES, Operators
 from lovageway.adapters.peers import Peers
 from lovageway.adapters.services import PlainServices
 from lovageway.adapters.table import Table
 from lovageway.adapters.vmlist import VmList
 from lovageway.codes import Code
+from lovageway.controllers._standing import Policy
 from lovageway.events import (
     CancelGeneration,
     Count,
@@ -62,10 +63,13 @@
     ----------
     cfg
         Checked settings.
+    policy
+        Limits of the configuration; given in measurements only, otherwise taken from `cfg`.
     """
 
-    def __init__(self, cfg: Settings) -> None:
+    def __init__(self, cfg: Settings, policy: Policy | None = None) -> None:
         self._cfg = cfg
+        self._policy = policy or Policy(cfg.configuration.minority_max_age_s)
         self._metrics = Metrics()
         self._table = Table(cfg.platform.table_url)
         self._vm_list = VmList(cfg.platform.vm_list_url)
@@ -88,6 +92,8 @@
         node_id = f"{self._cfg.daemon.vm_id}/{start_id}"
         self._peers = Peers(node_id, keys, self._receive, self._peer_error)
         await self._peers.listen(*_host_port(self._cfg.daemon.peer_listen))
+        self._peer_listen = self._peers.address
+        self._peers.address = self._cfg.daemon.peer_advertise or self._peers.address
         self._listen(start_id)
         for sig in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(sig, lambda: self._runtime.submit(StopRequested()))
@@ -120,12 +126,15 @@
         callers.wsgi_app = Callers(
             self._runtime, self._engines, self._services, resume_keys, self._count_refusal
         )
-        operators.wsgi_app = Operators(self._runtime, operator_keys, self._metrics.registry)
+        operators.max_request_body_size = MAX_DRAIN_BYTES
+        operators.wsgi_app = Operators(
+            self._runtime, operator_keys, self._metrics.registry, self._traffic
+        )
         for server in self._servers:
             threading.Thread(target=server.serve, daemon=True).start()
         ready = {
             "listen": address,
-            "peer_listen": self._peers.address,
+            "peer_listen": self._peer_listen,
             "operator_listen": _bound(operators),
         }
         print(json.dumps(ready), flush=True)
@@ -133,7 +142,7 @@
 
     def _options(self) -> Options:
         cfg = self._cfg
-        return Options(cfg.routing.policy, cfg.platform.weight_loads_per_s)
+        return Options(cfg.routing.policy, cfg.platform.weight_loads_per_s, self._policy)
 
     async def _tick(self) -> None:
         while True:
@@ -149,6 +158,9 @@
     def _peer_error(self, reason: str) -> None:
         self._metrics.add(Count("peer_errors", (reason,)))
 
+    def _traffic(self) -> dict[str, int]:
+        return {"bytes": self._peers.bytes_sent, "messages": self._peers.messages_sent}
+
     def _background(self, call: Callable[..., object], *args: object) -> None:
         def run() -> None:
             try:
--- a/src/lovageway/events.py
+++ b/src/lovageway/events.py
@@ -132,6 +132,7 @@
     op_id: str
     changes: tuple[Change, ...]
     base_version: int | None
+    reply_to: str = ""  # mailbox of the outcome; "": the operation id
 
 
 class StopRequested(NamedTuple):
@@ -273,11 +274,12 @@
 
 
 class ApplyDone(NamedTuple):
-    """Outcome of ApplyRequested; goes to the operator's thread under the operation id."""
+    """Outcome of ApplyRequested; goes to the operator's thread that asked."""
 
     op_id: str
-    version: int
+    version: int  # of the change; in force here when it was refused
     refusal: Refusal | None
+    reply_to: str = ""
 
 
 class Stopped(NamedTuple):
--- a/src/lovageway/filters/readiness.py
+++ b/src/lovageway/filters/readiness.py
@@ -3,21 +3,17 @@
 from expression import Ok
 
 from lovageway.chain import Context, Filter, Verdict, stop
-from lovageway.codes import Code, Refusal
 from lovageway.controllers.configuration import Configuration
 from lovageway.events import Emit
 
-RETRY_AFTER_S = 1.0
-
 
 class Readiness(Filter):
-    """Lets requests pass once a configuration is in force."""
+    """Lets requests pass while every accepted change is known to be in force here."""
 
     def __init__(self, configuration: Configuration) -> None:
         self._configuration = configuration
 
     def admit(self, ctx: Context, now: float, emit: Emit) -> Verdict:
-        """Refuse while there is no configuration."""
-        if not self._configuration.ready():
-            return stop(Refusal(Code.STARTING, retry_after_s=RETRY_AFTER_S))
-        return Ok(ctx)
+        """Refuse while there is no configuration, or while it may be out of date."""
+        refusal = self._configuration.may_serve(now)
+        return Ok(ctx) if refusal is None else stop(refusal)
--- a/src/lovageway/messages.py
+++ b/src/lovageway/messages.py
@@ -63,9 +63,10 @@
 
 
 class ConfigPush(NamedTuple):
-    """Accepted changes, oldest first."""
+    """Accepted changes, oldest first; answered by ConfigState when `seq` is above 0."""
 
     entries: tuple[LogEntry, ...]
+    seq: int = 0  # set by the daemon that accepted the last of the changes
 
 
 class ConfigPull(NamedTuple):
@@ -76,10 +77,27 @@
 
 
 class ConfigSnapshot(NamedTuple):
-    """All configuration rows of one version."""
+    """One page of all configuration rows of one version; pages keep frames under the limit."""
 
     version: int
     rows: dict[str, dict[str, object]]
+    page: int = 0
+    pages: int = 1
+
+
+class ConfigQuery(NamedTuple):
+    """Asks for ConfigState."""
+
+    seq: int
+
+
+class ConfigState(NamedTuple):
+    """Tells the version in force at the sender."""
+
+    seq: int  # of the ConfigQuery or ConfigPush answered
+    version: int
+    freshness_s: float  # as in Ping
+    started: bool  # false: the sender has not yet taken over the state of the fleet
 
 
 class ShareLine(NamedTuple):
@@ -194,6 +212,8 @@
     | StreamResumed
     | HandoverRequest
     | Handover
+    | ConfigQuery
+    | ConfigState
 )
 
 KINDS: tuple[type[Message], ...] = (
@@ -211,6 +231,8 @@
     StreamResumed,
     HandoverRequest,
     Handover,
+    ConfigQuery,
+    ConfigState,
 )
 _NUMBERS = {kind: number for number, kind in enumerate(KINDS)}
 
--- a/src/lovageway/metrics.py
+++ b/src/lovageway/metrics.py
@@ -18,6 +18,11 @@
     "grant_lines": ("Lines of grants sent to holders.", ()),
     "limited": ("Requests refused or delayed by a limit of their contract.", ("part",)),
     "server_news": ("Reports on start identities and overload sent to owners.", ()),
+    "config_accepted": ("Configuration changes accepted here.", ()),
+    "config_refused": ("Configuration changes refused here.", ("code",)),
+    "config_learned": ("Configuration versions put in force, by how they came.", ("source",)),
+    "config_rejected": ("Configuration versions kept out because rows cannot be parsed.", ()),
+    "config_stale_heads": ("Reads of a head older than the version in force.", ()),
     "peer_errors": ("Peer connections dropped or messages lost.", ("reason",)),
 }
 
--- a/src/lovageway/node.py
+++ b/src/lovageway/node.py
@@ -7,6 +7,7 @@
 
 from lovageway.chain import Chain, Context
 from lovageway.codes import Code, Refusal
+from lovageway.controllers._standing import Policy
 from lovageway.controllers.backends import Backends
 from lovageway.controllers.base import Controller
 from lovageway.controllers.configuration import Configuration
@@ -16,6 +17,7 @@
 from lovageway.controllers.shares import Shares
 from lovageway.controllers.streams import Streams
 from lovageway.events import (
+    ApplyRequested,
     AttemptFailed,
     AttemptFinished,
     AttemptStarted,
@@ -55,6 +57,7 @@
 
     policy: PolicyName = "memory"  # how to choose among servers; the others are baselines
     weight_loads_per_s: float = 1.0  # what the weight store allows
+    configuration: Policy = Policy()
 
 
 DEFAULT_OPTIONS = Options()
@@ -76,8 +79,9 @@
     def __init__(
         self, identity: Identity, rng: random.Random, options: Options = DEFAULT_OPTIONS
     ) -> None:
-        self.configuration = Configuration()
+        self.configuration = Configuration(rng, options.configuration)
         self.membership = Membership(identity, rng, self.configuration.status)
+        self.configuration.connect(self.membership)
         self.shares = Shares(self.membership)
         self.backends = Backends(self.membership, self.configuration, self.shares)
         self.shares.register("account", AccountLimits(self.configuration))
@@ -131,6 +135,7 @@
             self.chain.poll(now, self._emit)
         for effect in self._effects:
             self._remember(effect, now)
+            self.configuration.on_sent(effect, now)
         return self._effects
 
     def dump(self, now: float) -> dict[str, object]:
@@ -252,6 +257,10 @@
     def _(self, event: OrderAnswered, now: float) -> None:
         self.orders.on_answer(event, now, self._emit)
 
+    @_on.register
+    def _(self, event: ApplyRequested, now: float) -> None:
+        self.configuration.on_apply(event, now, self._emit)
+
     @_on.register
     def _(self, event: StopRequested, now: float) -> None:
         self._emit(Count("stops"))
--- /dev/null
+++ b/src/lovageway/report.py
@@ -0,0 +1,90 @@
+"""What operators may ask of a daemon, read from its node between two events."""
+
+from lovageway.messages import Member
+from lovageway.model import Vm
+from lovageway.node import Node
+
+HISTORY_CHANGES = 20
+
+
+def status(node: Node, now: float) -> dict[str, object]:
+    """Return this daemon, the live ones with their versions, the table service and the servers."""
+    configuration, membership = node.configuration, node.membership
+    refusal = configuration.may_serve(now)
+    version, freshness = configuration.status(now)
+    live = membership.live()
+    seen = {_vm_id(member) for member in live}
+    return {
+        **membership.identity._asdict(),
+        "version": version,
+        "stored_version": configuration.store.version,
+        "freshness_s": None if freshness < 0 else round(freshness, 3),
+        "serving": refusal is None,
+        "refuses": refusal.code.name if refusal else None,
+        "majority": configuration.majority(),
+        "table": configuration.table_state(now),
+        "daemons": [_daemon(node, member, version) for member in live],
+        "listed_not_live": sorted(
+            vm.vm_id for vm in membership.vms if vm.role == "entry" and vm.vm_id not in seen
+        ),
+        "servers": [_server(node, vm) for vm in membership.vms if vm.role == "backend"],
+    }
+
+
+def _vm_id(member: Member) -> str:
+    return member.node.partition("/")[0]
+
+
+def _daemon(node: Node, member: Member, version: int) -> dict[str, object]:
+    mine = member.node == node.membership.node
+    return {
+        "vm_id": _vm_id(member),
+        "zone": member.zone,
+        "address": member.address,
+        "state": member.state,
+        "version": version if mine else node.configuration.peer_version(member.node),
+    }
+
+
+def _server(node: Node, vm: Vm) -> dict[str, object]:
+    snapshot = node.configuration.snapshot
+    zone, rule = snapshot.zones.get(vm.zone), snapshot.servers.get(vm.vm_id)
+    return {
+        "server_id": vm.vm_id,
+        "service": vm.service,
+        "zone": vm.zone,
+        "state": vm.state,
+        "zone_enabled": zone is None or zone.enabled,
+        "server_enabled": rule is None or rule.enabled,
+        "in_flight_here": node.backends.in_flight(vm.vm_id),
+    }
+
+
+def rows(node: Node, now: float) -> dict[str, object]:
+    """Return the stored rows and the latest changes."""
+    store = node.configuration.store
+    return {
+        "version": store.version,
+        "in_force": node.configuration.snapshot.version,
+        "rows": store.rows,
+        "history": [
+            {
+                "version": entry.version,
+                "op_id": entry.op_id,
+                "keys": [key for key, _ in entry.changes],
+            }
+            for entry in store.entries()[-HISTORY_CHANGES:]
+        ],
+    }
+
+
+def account(node: Node, name: str) -> dict[str, object] | None:
+    """Return the contract row of a client account, None when there is none."""
+    contract = node.configuration.snapshot.contracts.get(name)
+    if contract is None:
+        return None
+    return {
+        "account": name,
+        "version": node.configuration.snapshot.version,
+        "contract": contract._asdict(),
+    }
--- a/src/lovageway/runtime.py
+++ b/src/lovageway/runtime.py
@@ -72,7 +72,7 @@
             case StartAttempt() | ResumeAttempt() | Refuse() | Replay() | Finish():
                 box = self._mailboxes.get(effect.request_id)
             case ApplyDone():
-                box = self._mailboxes.get(effect.op_id)
+                box = self._mailboxes.get(effect.reply_to or effect.op_id)
             case _:
                 self._perform(effect)
                 return
--- a/src/lovageway/settings.py
+++ b/src/lovageway/settings.py
@@ -24,6 +24,9 @@
     listen: HostPort = Field("127.0.0.1:0", description="Callers' listener.")
     peer_listen: HostPort = Field("127.0.0.1:0", description="Listener for other daemons.")
     operator_listen: HostPort = Field("127.0.0.1:0", description="Operators' listener.")
+    peer_advertise: HostPort | None = Field(
+        None, description="Address at which other daemons reach peer_listen, when it differs."
+    )
     worker_threads: int = Field(
         200, ge=4, le=2000, description="Requests served at the same time by this daemon."
     )
@@ -67,6 +70,18 @@
     """How changes of state are logged on standard error."""
 
     form: Literal["json", "console"] = Field("json", description='"json" or "console".')
+class ConfigurationSettings(_Section):
+    """How long a daemon may serve on a configuration that it cannot check."""
+
+    minority_max_age_s: float = Field(
+        default=3.0,
+        ge=1.0,
+        le=86400.0,
+        description=(
+            "Age of the configuration up to which a daemon without majority contact serves. "
+            "Above 3 s an accepted change may not be in force on every daemon that serves."
+        ),
+    )
 
 
 class Settings(_Section):
@@ -77,6 +92,7 @@
     keys: KeySettings
     log: LogSettings = Field(default_factory=lambda: LogSettings(form="json"))
     routing: RoutingSettings = RoutingSettings()
+    configuration: ConfigurationSettings = ConfigurationSettings()
 
 
 class Problem(NamedTuple):
