Give operators an interface and commands for the configuration

Cause: operators could not change anything but rows in the table service. /admin/status, config, config/apply, config/spread and accounts answer in the common refusal form; the commands status, config, contract, zone, server, dump, explain and account use them, try the next address, and repeat a doubtful change with the same operation id.

Ruled out: retrying a refused change that wrote nothing (the operator decides); finding the outcome by reading the version (another operator may have moved it).

--- /dev/null
+++ b/src/lovageway/_changes.py
@@ -0,0 +1,121 @@
+"""What the operators' commands share: the difference to apply, applying it, and waiting for it."""
+
+import json
+import time
+import tomllib
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import typer
+
+from lovageway import _client
+from lovageway._client import Client, CommandError
+
+WAIT_S = 30.0
+WAIT_STEP_S = 0.1
+TABLES = {"contract": "account", "service": "name", "zone": "name", "server": "server_id"}
+"""Field of each table's rows that holds the name in the key."""
+
+
+class Session(NamedTuple):
+    """One command: whom it asks and how it prints."""
+
+    client: Client
+    as_json: bool
+
+    def show(self, value: object, text: str) -> None:
+        """Print the value as JSON or the text."""
+        typer.echo(json.dumps(value, indent=1) if self.as_json else text)
+
+
+def change(
+    session: Session,
+    wanted: Mapping[str, dict[str, Any] | None],
+    current: dict[str, Any],
+    base_version: int | None,
+    wait: bool,
+    dry_run: bool = False,
+) -> None:
+    """Apply rows that differ from those in force; a value of None deletes the row."""
+    rows = current["rows"]
+    changed = {key: value for key, value in wanted.items() if rows.get(key) != value}
+    changes = [{"key": key, "value": value} for key, value in changed.items()]
+    difference = [_difference(key, rows.get(key), value) for key, value in changed.items()]
+    if not changes or dry_run:
+        version = current["version"]
+        text = "\n".join(difference) or f"Nothing to change in version {version}."
+        session.show({"version": version, "accepted": False, "changes": changes}, text)
+        return
+    version = session.client.apply(changes, base_version)
+    result = {"version": version, "accepted": True, "changes": changes}
+    if not session.as_json:
+        typer.echo("\n".join([*difference, f"Accepted as version {version}."]))
+    if wait:
+        result["spread"] = _wait(session, version)
+    if session.as_json:
+        typer.echo(json.dumps(result, indent=1))
+
+
+def _difference(key: str, old: dict[str, Any] | None, new: dict[str, Any] | None) -> str:
+    if new is None:
+        return f"- {key}"
+    if old is None:
+        return f"+ {key} = {json.dumps(new)}"
+    fields = [
+        f"{name}: {json.dumps(old.get(name))} -> {json.dumps(new.get(name))}"
+        for name in sorted({*old, *new})
+        if old.get(name) != new.get(name)
+    ]
+    return f"~ {key}: " + ", ".join(fields)
+
+
+def _wait(session: Session, version: int) -> dict[str, Any]:
+    """Wait until the version is in force on each live VM; progress goes to standard error."""
+    end, told = time.monotonic() + WAIT_S, ""
+    while True:
+        spread: dict[str, Any] = session.client.get(f"/admin/config/spread?version={version}")
+        missing = [f"{item['vm_id']} (version {item['version']})" for item in spread["missing"]]
+        in_force = len(spread["in_force"])
+        text = f"In force on {in_force} of {in_force + len(missing)} live VMs."
+        text += f" Missing: {', '.join(missing)}." if missing else ""
+        if spread["not_live"]:
+            text += f" Listed but not live: {', '.join(spread['not_live'])}."
+        if text != told:
+            typer.echo(text, err=True)
+            told = text
+        if not missing:
+            return spread
+        if time.monotonic() >= end:
+            raise CommandError(
+                _client.NOT_EVERYWHERE,
+                f"Version {version} is accepted, but after {WAIT_S:.0f} s it is missing on: "
+                + ", ".join(missing),
+                {"version": version, "accepted": True, "spread": spread},
+            )
+        time.sleep(WAIT_STEP_S)
+
+
+def read_file(path: Path) -> dict[str, dict[str, Any] | None]:
+    """Return the rows that a TOML or JSON file asks for, by key; None deletes a row."""
+    try:
+        text = path.read_text()
+        found = json.loads(text) if path.suffix == ".json" else tomllib.loads(text)
+    except (OSError, ValueError) as exc:
+        raise CommandError(_client.USAGE, f"{path}: {exc}") from exc
+    problems: list[str] = []
+    wanted: dict[str, dict[str, Any] | None] = {}
+    for table, rows in found.items() if isinstance(found, dict) else ():
+        if table == "delete" and isinstance(rows, list):
+            wanted |= {str(key): None for key in rows}
+        elif table not in TABLES or not isinstance(rows, dict):
+            problems.append(f"{table}: expected a table for one of {', '.join(TABLES)}, or delete")
+        else:
+            for name, row in rows.items():
+                if isinstance(row, dict):
+                    wanted[f"{table}/{name}"] = {TABLES[table]: name, **row}
+                else:
+                    problems.append(f"{table}.{name}: expected a table of fields")
+    if problems or not wanted:
+        raise CommandError(_client.USAGE, f"{path}: " + ("; ".join(problems) or "no rows"))
+    return wanted
--- a/src/lovageway/cli.py
+++ b/src/lovageway/cli.py
@@ -5,10 +5,11 @@
 
 import typer
 
-from lovageway import logs, settings
+from lovageway import logs, operator, settings
 from lovageway.daemon import Daemon
 
 app = typer.Typer(no_args_is_help=True, help="Serves generations of unknown length.")
+operator.register(app)
 
 
 @app.command()
--- /dev/null
+++ b/src/lovageway/operator.py
@@ -0,0 +1,335 @@
+"""Operators' commands."""
+
+import hashlib
+import json
+import secrets
+from collections.abc import Callable
+from functools import wraps
+from pathlib import Path
+from typing import Annotated, Any, NamedTuple, ParamSpec
+
+import typer
+
+from lovageway import _client
+from lovageway._changes import TABLES, Session, change, read_file
+from lovageway._client import Client, CommandError
+
+P = ParamSpec("P")
+
+config_app = typer.Typer(no_args_is_help=True, help="Show and change the configuration.")
+contract_app = typer.Typer(no_args_is_help=True, help="Create, change and remove contracts.")
+zone_app = typer.Typer(no_args_is_help=True, help="Take availability zones out and back.")
+server_app = typer.Typer(no_args_is_help=True, help="Take backend servers out and back.")
+
+Addresses = Annotated[
+    list[str],
+    typer.Option(
+        "--address",
+        envvar="LOVAGEWAY_ADDRESSES",
+        help="Operators' listener of a daemon; give several, the next one is tried.",
+    ),
+]
+KeyFile = Annotated[
+    Path, typer.Option("--key-file", envvar="LOVAGEWAY_KEY_FILE", help="File with an operator key.")
+]
+AsJson = Annotated[bool, typer.Option("--json", help="Print one JSON value.")]
+Timeout = Annotated[float, typer.Option(help="Seconds for which a doubtful change is repeated.")]
+Wait = Annotated[bool, typer.Option("--wait", help="Wait until it is in force on each live VM.")]
+DryRun = Annotated[bool, typer.Option("--dry-run", help="Show the difference, change nothing.")]
+
+
+def _command(function: Callable[P, None]) -> Callable[P, None]:
+    """Turn errors of a command into a message and its exit code."""
+
+    @wraps(function)
+    def run(*args: P.args, **kwargs: P.kwargs) -> None:
+        try:
+            function(*args, **kwargs)
+        except CommandError as exc:
+            if kwargs.get("as_json"):
+                typer.echo(json.dumps({**exc.body, "exit_code": exc.exit_code}, indent=1))
+            else:
+                typer.echo(str(exc), err=True)
+            raise typer.Exit(exc.exit_code) from None
+
+    return run
+
+
+# ---- reading ------------------------------------------------------------------------------------
+
+
+@_command
+def status(address: Addresses, key_file: KeyFile, as_json: AsJson = False) -> None:
+    """Show one daemon, the live daemons with their versions, and the backend servers."""
+    session = Session(Client(address, key_file, 0.0), as_json)
+    found = session.client.get("/admin/status")
+    session.show(found, _status_text(found))
+
+
+def _status_text(found: dict[str, Any]) -> str:
+    serving = "serving" if found["serving"] else f"refusing with {found['refuses']}"
+    reachable = {True: "answers", False: "does not answer", None: "not asked yet"}
+    age = found["freshness_s"]
+    lines = [
+        f"{found['vm_id']} in {found['zone']}: {serving}, version {found['version']}, "
+        f"checked {'never' if age is None else f'{age:.1f} s ago'}, "
+        f"{'majority' if found['majority'] else 'no majority'} contact",
+        f"table service: {reachable[found['table']['reachable']]}",
+    ]
+    for item in found["daemons"]:
+        lines.append(
+            f"daemon {item['vm_id']} in {item['zone']}: {item['state']}, version {item['version']}"
+        )
+    lines += [f"daemon {vm_id}: listed, not live" for vm_id in found["listed_not_live"]]
+    for item in found["servers"]:
+        state = item["state"] if item["server_enabled"] else "taken out"
+        zone = item["zone"] if item["zone_enabled"] else f"{item['zone']} (taken out)"
+        lines.append(f"server {item['server_id']} of {item['service']} in {zone}: {state}")
+    return "\n".join(lines)
+
+
+@config_app.command("show")
+@_command
+def config_show(address: Addresses, key_file: KeyFile, as_json: AsJson = False) -> None:
+    """Show the rows in force and the latest changes."""
+    session = Session(Client(address, key_file, 0.0), as_json)
+    found = session.client.get("/admin/config")
+    lines = [f"version {found['version']}"]
+    lines += [f"{key} = {json.dumps(value)}" for key, value in sorted(found["rows"].items())]
+    for entry in found["history"]:
+        keys = ", ".join(entry["keys"])
+        lines.append(f"change {entry['version']} by operation {entry['op_id']}: {keys}")
+    session.show(found, "\n".join(lines))
+
+
+@_command
+def dump(address: Addresses, key_file: KeyFile, as_json: AsJson = True) -> None:
+    """Print the whole state of one daemon as JSON."""
+    found = Client(address, key_file, 0.0).get("/admin/dump")
+    typer.echo(json.dumps(found, indent=1))
+
+
+@_command
+def explain(
+    request_id: str, address: Addresses, key_file: KeyFile, as_json: AsJson = False
+) -> None:
+    """Show what was decided about a recent request; ask the daemon that took it."""
+    session = Session(Client(address, key_file, 0.0), as_json)
+    steps = session.client.get(f"/admin/explain/{request_id}")
+    if not steps:
+        raise CommandError(_client.NOT_FOUND, f"This daemon knows no request {request_id}.")
+    lines = []
+    for step in steps:
+        rest = {key: value for key, value in step.items() if key not in ("at_s", "step")}
+        lines.append(f"{step['at_s']:.3f} {step['step']} {json.dumps(rest)}")
+    session.show(steps, "\n".join(lines))
+
+
+@_command
+def account(name: str, address: Addresses, key_file: KeyFile, as_json: AsJson = False) -> None:
+    """Show the contract of a client account."""
+    session = Session(Client(address, key_file, 0.0), as_json)
+    found = session.client.get(f"/admin/accounts/{name}")
+    lines = [f"{key} = {json.dumps(value)}" for key, value in found["contract"].items()]
+    session.show(found, "\n".join(lines))
+
+
+# ---- changing -----------------------------------------------------------------------------------
+
+
+@config_app.command("apply")
+@_command
+def config_apply(
+    file: Path,
+    address: Addresses,
+    key_file: KeyFile,
+    as_json: AsJson = False,
+    dry_run: DryRun = False,
+    wait: Wait = False,
+    base_version: Annotated[
+        int | None, typer.Option(help="Refuse if another version is in force.")
+    ] = None,
+    timeout_s: Timeout = 30.0,
+) -> None:
+    """Apply the rows in a TOML or JSON file; rows that it does not name stay as they are."""
+    session = Session(Client(address, key_file, timeout_s), as_json)
+    wanted = read_file(file)
+    current = session.client.get("/admin/config")
+    # Without --base-version the difference shown is what is applied, or the change is refused.
+    base = current["version"] if base_version is None else base_version
+    if dry_run and base != current["version"]:
+        raise CommandError(
+            _client.CONFLICT, f"--base-version {base}: version {current['version']} is in force."
+        )
+    change(session, wanted, current, base, wait, dry_run)
+
+
+class _Limits(NamedTuple):
+    services: list[str] | None
+    requests_per_s: float | None
+    concurrency: int | None
+    tokens_per_s: float | None
+    request_class: str | None
+    delivery: str | None
+    max_wait_s: float | None
+    key_hashes: list[str] | None
+
+    def row(self) -> dict[str, Any]:
+        return {name: value for name, value in self._asdict().items() if value}
+
+
+Services = Annotated[list[str] | None, typer.Option("--service", help="May be repeated.")]
+RequestRate = Annotated[float | None, typer.Option("--requests-per-s")]
+Concurrency = Annotated[int | None, typer.Option("--concurrency", help="Requests at once.")]
+TokenRate = Annotated[float | None, typer.Option("--tokens-per-s", help="Output tokens.")]
+RequestClass = Annotated[str | None, typer.Option("--class", help="interactive or batch")]
+Delivery = Annotated[str | None, typer.Option("--delivery", help="stream or whole")]
+MaxWait = Annotated[float | None, typer.Option("--max-wait-s")]
+KeyHashes = Annotated[
+    list[str] | None, typer.Option("--key-hash", help="SHA-256 of a key, hexadecimal; repeatable.")
+]
+
+
+@contract_app.command("create")
+@_command
+def contract_create(
+    name: str,
+    address: Addresses,
+    key_file: KeyFile,
+    service: Services = None,
+    requests_per_s: RequestRate = None,
+    concurrency: Concurrency = None,
+    tokens_per_s: TokenRate = None,
+    request_class: RequestClass = None,
+    delivery: Delivery = None,
+    max_wait_s: MaxWait = None,
+    key_hash: KeyHashes = None,
+    as_json: AsJson = False,
+    wait: Wait = False,
+    timeout_s: Timeout = 30.0,
+) -> None:
+    """Create a contract; without --key-hash a key is made and printed once."""
+    session = Session(Client(address, key_file, timeout_s), as_json)
+    current = session.client.get("/admin/config")
+    if f"contract/{name}" in current["rows"]:
+        raise CommandError(_client.CONFLICT, f"There is a contract {name}; use contract change.")
+    if not key_hash:
+        key = secrets.token_urlsafe(24)
+        key_hash = [hashlib.sha256(key.encode()).hexdigest()]
+        # Standard error keeps the JSON on standard output whole.
+        typer.echo(f"Key of {name}, shown only here: {key}", err=True)
+    limits = _Limits(
+        service,
+        requests_per_s,
+        concurrency,
+        tokens_per_s,
+        request_class,
+        delivery,
+        max_wait_s,
+        key_hash,
+    )
+    row = {"account": name, **limits.row()}
+    change(session, {f"contract/{name}": row}, current, current["version"], wait)
+
+
+@contract_app.command("change")
+@_command
+def contract_change(
+    name: str,
+    address: Addresses,
+    key_file: KeyFile,
+    service: Services = None,
+    requests_per_s: RequestRate = None,
+    concurrency: Concurrency = None,
+    tokens_per_s: TokenRate = None,
+    request_class: RequestClass = None,
+    delivery: Delivery = None,
+    max_wait_s: MaxWait = None,
+    key_hash: KeyHashes = None,
+    as_json: AsJson = False,
+    wait: Wait = False,
+    timeout_s: Timeout = 30.0,
+) -> None:
+    """Change the named fields of a contract."""
+    session = Session(Client(address, key_file, timeout_s), as_json)
+    current = session.client.get("/admin/config")
+    row = _row(current, f"contract/{name}")
+    limits = _Limits(
+        service,
+        requests_per_s,
+        concurrency,
+        tokens_per_s,
+        request_class,
+        delivery,
+        max_wait_s,
+        key_hash,
+    )
+    row = {**row, **limits.row()}
+    change(session, {f"contract/{name}": row}, current, current["version"], wait)
+
+
+def _row(current: dict[str, Any], key: str) -> dict[str, Any]:
+    row: dict[str, Any] | None = current["rows"].get(key)
+    if row is None:
+        raise CommandError(_client.NOT_FOUND, f"There is no {key} in version {current['version']}.")
+    return row
+
+
+@contract_app.command("remove")
+@_command
+def contract_remove(
+    name: str,
+    address: Addresses,
+    key_file: KeyFile,
+    as_json: AsJson = False,
+    wait: Wait = False,
+    timeout_s: Timeout = 30.0,
+) -> None:
+    """Remove a contract; its keys stop working."""
+    session = Session(Client(address, key_file, timeout_s), as_json)
+    current = session.client.get("/admin/config")
+    _row(current, f"contract/{name}")
+    change(session, {f"contract/{name}": None}, current, current["version"], wait)
+
+
+def _switch(session: Session, key: str, enabled: bool, wait: bool) -> None:
+    current = session.client.get("/admin/config")
+    table, _, name = key.partition("/")
+    # A zone must be known; a server needs no row until an operator takes it out.
+    row = _row(current, key) if table == "zone" else current["rows"].get(key, {TABLES[table]: name})
+    same = row.get("enabled", True) == enabled
+    wanted = {} if same else {key: {**row, "enabled": enabled}}
+    change(session, wanted, current, current["version"], wait)
+
+
+def _add_switches(app: typer.Typer, table: str, what: str) -> None:
+    def add(command: str, enabled: bool, text: str) -> None:
+        @app.command(command, help=text)
+        @_command
+        def switch(
+            name: str,
+            address: Addresses,
+            key_file: KeyFile,
+            as_json: AsJson = False,
+            wait: Wait = False,
+            timeout_s: Timeout = 30.0,
+        ) -> None:
+            session = Session(Client(address, key_file, timeout_s), as_json)
+            _switch(session, f"{table}/{name}", enabled, wait)
+
+    add("take-out", False, f"Send no new work to {what}; what runs there finishes.")
+    add("bring-back", True, f"Send work to {what} again, ramping up.")
+
+
+_add_switches(zone_app, "zone", "an availability zone")
+_add_switches(server_app, "server", "a backend server")
+
+
+def register(app: typer.Typer) -> None:
+    """Add the operators' commands to the command line."""
+    for function in (status, dump, explain, account):
+        app.command()(function)
+    app.add_typer(config_app, name="config")
+    app.add_typer(contract_app, name="contract")
+    app.add_typer(zone_app, name="zone")
+    app.add_typer(server_app, name="server")
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -14,6 +14,8 @@
 
 import urllib3
 
+from tests.proxy import Proxy
+
 START_TIMEOUT_S = 30.0
 WAIT_TIMEOUT_S = 30.0
 http = urllib3.PoolManager(retries=False, maxsize=50, timeout=urllib3.Timeout(30.0))
@@ -77,12 +79,15 @@
         self.processes = []
         self.daemons = {}
         self.vms = {}
+        self.links = {}
         self.platform = self.standin("platform")
 
     def __enter__(self):
         return self
 
     def __exit__(self, *_):
+        for link in (link for pair in self.links.values() for link in pair):
+            link.__exit__()
         for process in self.processes:
             if process.popen.poll() is None:
                 process.signal(signal.SIGCONT)
@@ -121,26 +126,39 @@
         }
         return process
 
-    def daemon(self, vm_id, zone, more_lines=(), **daemon_settings):
-        """Start a daemon and list its VM; `more_lines` follow at the end of its settings."""
+    def daemon(self, vm_id, zone, more_lines=(), proxied=False, **daemon_settings):
+        """Start a daemon and list its VM; `more_lines` follow at the end of its settings.
+
+        With `proxied`, `links[vm_id]` holds one proxy on its way to the platform and one on the way
+        of other daemons to it. Cutting both leaves the daemon without any answer or message.
+        """
         path = self.dir / f"{vm_id}.toml"
+        platform = self.platform.address
+        if proxied:
+            links = self.links[vm_id] = (Proxy(platform), Proxy("127.0.0.1:1"))
+            platform, daemon_settings["peer_advertise"] = (link.address for link in links)
         lines = ["[daemon]", f'vm_id = "{vm_id}"', f'zone = "{zone}"']
         lines += [f"{name} = {json.dumps(value)}" for name, value in daemon_settings.items()]
-        lines += ["[platform]", f'table_url = "http://{self.platform.address}"']
-        lines += [f'vm_list_url = "http://{self.platform.address}/v1/vms"', "[keys]"]
+        lines += ["[platform]", f'table_url = "http://{platform}"']
+        lines += [f'vm_list_url = "http://{platform}/v1/vms"', "[keys]"]
         lines += [f'peer_key_files = ["{self.dir}/peer.key"]']
         lines += [f'resume_key_files = ["{self.dir}/resume.key"]']
         lines += [f'operator_key_files = ["{self.dir}/operator.key"]']
         path.write_text("\n".join([*lines, *more_lines]) + "\n")
         process = self._start([*self.command, "serve", "--config", str(path)])
         self.daemons[vm_id] = process
+        peer_address = process.addresses["peer_listen"]
+        if proxied:
+            host, _, port = peer_address.rpartition(":")
+            links[1].target = (host, int(port))
+            peer_address = links[1].address
         self.vms[vm_id] = {
             "vm_id": vm_id,
             "role": "entry",
             "service": "",
             "zone": zone,
             "address": process.address,
-            "peer_address": process.addresses["peer_listen"],
+            "peer_address": peer_address,
         }
         return process
 
@@ -161,6 +179,30 @@
         url = f"http://{process.addresses['operator_listen']}{path}"
         return json.loads(http.request("GET", url, headers=headers).data)
 
+    def set_links(self, vm_id, mode):
+        """Set the mode of both proxies of a daemon."""
+        for link in self.links[vm_id]:
+            link.set_mode(mode)
+
+    def control(self, **wanted):
+        """Set faults of the platform and return its state."""
+        return post(self.platform.address, "/control", wanted)
+
+    def apply(self, process, op_id, changes, base_version=None):
+        """Apply changes (key -> row or None) through a daemon; returns status and answer."""
+        changes = [{"key": key, "value": value} for key, value in changes.items()]
+        body = {"op_id": op_id, "base_version": base_version, "changes": changes}
+        headers = {"Authorization": f"Bearer {self.operator_key}"}
+        url = f"http://{process.addresses['operator_listen']}/admin/config/apply"
+        resp = http.request("POST", url, json=body, headers=headers)
+        return resp.status, json.loads(resp.data)
+
+    def versions(self):
+        """Return the version in force at each daemon."""
+        return [
+            self.admin(process, "/admin/status")["version"] for process in self.daemons.values()
+        ]
+
     def wait_ready(self):
         """Wait until every daemon has a configuration and some daemon polls each listed VM."""
         wait_for(self._ready, "a ready fleet")
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -1,8 +1,8 @@
 """Stand-in for the platform: table service, VM list and object store, with faults on request.
 
 ``POST /control`` sets faults: ``{"table": "up" | "down" | "slow", "lose": N}`` where `lose` is the
-number of coming transactions whose answer is lost after the write; ``{"vms": [...]}`` sets the VM
-list.
+number of coming transactions whose answer is lost after the write, and `then` is the state of the
+table after the last of them; ``{"vms": [...]}`` sets the VM list.
 """
 
 import hashlib
@@ -24,6 +24,7 @@
         self.objects = {}
         self.table = "up"
         self.lose = 0
+        self.then = None
         self.reads = self.writes = 0
 
     def handle(self, method, parts, query, data, environ):
@@ -44,7 +45,7 @@
 
     def control(self, wanted):
         with self.lock:
-            for name in ("table", "lose", "vms"):
+            for name in ("table", "lose", "then", "vms"):
                 if name in wanted:
                     setattr(self, name, wanted[name])
             state = {"reads": self.reads, "writes": self.writes, "lose": self.lose}
@@ -85,6 +86,8 @@
                 self.rows.pop(key, None)
             lost = self.lose > 0
             self.lose -= lost
+            if lost and not self.lose and self.then:
+                self.table, self.then = self.then, None
             rows = self.found([key for key, _ in body["puts"]])
         return Reply(500, {"error": "answer lost"}) if lost else Reply(200, {"rows": rows})
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -258,6 +258,65 @@
         world.settle(1.0)
         self.assertEqual(self.refused(world).code, Code.INVALID_CHANGE)
 
+    def test_all_errors_of_a_change_are_named_at_once(self):
+        # Guards against operators who correct one error after the other, and against bad rows.
+        world = settled(1)
+        wrong = contract_row("new", concurrency="2", requests_per_s=-1.0, surplus=1)
+        poor = contract_row("poor", requests_per_s=-1, tokens_per_s=1e999, delivery="pigeon")
+        changes = [
+            ("contract/new", wrong),
+            ("contract/poor", poor),
+            ("zone/gobi", {"name": "selenge", "region": "r"}),
+            ("zone/a/b", {"name": "a/b", "region": "r"}),
+            ("quota/x", {}),
+            ("server/none", None),
+            ("service/s", {"name": "s", "kind": "engine", "cold_slots": 0, "methods": "refund"}),
+            ("zone/bad", {"name": "bad", "region": "\ud800"}),
+        ]
+        world.apply(0, "operator-one", changes)
+        world.settle(0.5)
+        refusal = self.refused(world)
+        self.assertEqual(refusal.code, Code.INVALID_CHANGE)
+        for part in (
+            "contract/new: concurrency",
+            "contract/new: surplus",
+            "contract/poor: requests_per_s",
+            "contract/poor: tokens_per_s",
+            "contract/poor: delivery",
+            "zone/gobi: the row names 'selenge'",
+            "'zone/a/b': a name has",
+            "'quota/x': the key must be",
+            "server/none: there is no such row",
+            "service/s: methods",
+            "zone/bad:",
+        ):
+            self.assertIn(part, refusal.detail)
+        self.assertEqual(world.table.commits, ["seed"])
+
+    def test_rows_must_fit_each_other(self):
+        # Guards against keys that open two accounts and contracts for services that do not exist.
+        world = settled(1)
+        same_key = {**contract_row("clerks"), "account": "thief", "services": ["nowhere"]}
+        for number, (changes, part) in enumerate(
+            [
+                ([("contract/thief", same_key)], "belongs to clerks"),
+                ([("contract/thief", same_key)], "no service 'nowhere'"),
+                ([("service/counter-app", None)], "no service 'counter-app'"),
+                ([], "there is no change"),
+                ([("zone/x", {"name": "x", "region": "r" * 300_000})], "at most 262144"),
+            ]
+        ):
+            world.apply(0, f"operation-{number}", changes)
+            world.settle(0.2)
+            self.assertIn(part, self.refused(world).detail)
+
+    def test_a_lower_snapshot_is_not_taken(self):
+        # Guards against a revert by a snapshot of a stale peer.
+        world = settled(2)
+        world.nodes[0].store.replace(5, {})
+        self.assertFalse(world.nodes[0].store.replace(4, {"zone/x": {}}))
+        self.assertEqual((world.nodes[0].store.version, world.nodes[0].store.rows), (5, {}))
+
     def test_log_rows_in_the_table_service_are_bounded(self):
         # Guards against log and operation rows that grow for ever.
         from lovageway.controllers import _apply
@@ -369,6 +428,15 @@
             world.deliver(0)
         self.assertGreaterEqual(world.nodes[0]._standing.age(world.now), min(ages) + 2.0)
 
+    def test_a_head_that_was_held_up_does_not_make_the_daemon_look_fresh(self):
+        # Guards against a freshness that counts from the answer: changes may lie in between.
+        world = settled(1)
+        world.tick(1.2)
+        world.answer(0, "hold")
+        world.now += 2.0
+        world.give(*world.held.pop())
+        self.assertGreaterEqual(world.nodes[0]._standing.age(world.now), 2.0)
+
     def test_rows_that_cannot_be_parsed_keep_the_previous_version_in_force(self):
         # Guards against a daemon that one broken row stops, and against a deadlock: the row can be
         # replaced by an ordinary change.
--- /dev/null
+++ b/tests/test_configuration_fleet.py
@@ -0,0 +1,211 @@
+"""Configuration changes on real daemons, with faults of the table service and of links."""
+
+import signal
+import threading
+import unittest
+
+from tests.builders import JAR_ZONES, jar_returns_rows
+from tests.fleet import Fleet, http, wait_for
+
+
+def zone_row(name, **fields):
+    return {f"zone/{name}": {"name": name, "region": f"{name}-region", **fields}}
+
+
+def started_fleet(size):
+    fleet = Fleet()
+    for number in range(size):
+        fleet.daemon(f"entry-{number}", JAR_ZONES[number % 3], proxied=True)
+    fleet.write_configuration(jar_returns_rows())
+    fleet.publish_vms()
+    fleet.wait_ready()
+    wait_for(lambda: all(majority(fleet)), "majority contact of every daemon")
+    return fleet
+
+
+def majority(fleet):
+    return [fleet.admin(process, "/admin/status")["majority"] for process in fleet.daemons.values()]
+
+
+def code_of(process):
+    """Return the code with which a daemon answers a caller; 4003 shows that it serves."""
+    headers = {"Authorization": "Bearer nobody"}
+    body = {"model": "crock-llm", "prompt": "x"}
+    resp = http.request(
+        "POST", f"http://{process.address}/v1/completions", json=body, headers=headers
+    )
+    return resp.json()["error"]["code"]
+
+
+class Table(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.fleet = started_fleet(5)
+        cls.addClassCleanup(cls.fleet.__exit__)
+
+    def setUp(self):
+        self.fleet.control(table="up", lose=0, then=None)
+        self.daemons = list(self.fleet.daemons.values())
+        self.version = max(self.fleet.versions())
+
+    def in_force(self, version):
+        wait_for(lambda: set(self.fleet.versions()) == {version}, f"version {version} everywhere")
+
+    def operations(self):
+        return [key for key in self.fleet.control()["rows"] if key.startswith("config/op/")]
+
+    def accept(self, op_id, changes):
+        def accepted():
+            status, answer = self.fleet.apply(self.daemons[0], op_id, changes)
+            return status == 200 and answer
+
+        # A busy machine may hold up pings long enough to lose majority contact for a moment.
+        return wait_for(accepted, "acceptance")
+
+    def test_an_accepted_change_is_pushed_to_every_daemon(self):
+        # Guards against changes that wait for each daemon's own poll of the table service.
+        for number in range(5):
+            done = self.accept(f"push-{number}-operation", zone_row("gobi", enabled=number % 2 > 0))
+            self.in_force(done["version"])
+        headers = {"Authorization": f"Bearer {self.fleet.operator_key}"}
+        pushed = 0
+        for process in self.daemons[1:]:
+            url = f"http://{process.addresses['operator_listen']}/metrics"
+            text = http.request("GET", url, headers=headers).data.decode()
+            pushed += 'config_learned_total{source="push"}' in text
+        self.assertGreaterEqual(pushed, 3)
+
+    def test_a_write_whose_answer_is_lost_is_accepted_once(self):
+        # Guards against a change reported as failed, or applied again, after it took effect.
+        self.fleet.control(lose=1)
+        done = self.accept("lost-answer-operation", zone_row("gobi", region="east"))
+        self.assertEqual(self.fleet.control()["lose"], 0)
+        self.in_force(done["version"])
+        again = self.fleet.apply(
+            self.daemons[3], "lost-answer-operation", zone_row("gobi", region="east")
+        )
+        self.assertEqual(again, (200, done))
+        self.assertEqual(self.operations().count("config/op/lost-answer-operation"), 1)
+
+    def test_of_two_racing_operators_one_is_told_that_the_other_won(self):
+        # Guards against a lost update.
+        for attempt in range(20):
+            answers = {}
+
+            def race(number, attempt=attempt, answers=answers):
+                op_id = f"race-{attempt}-operator-{number}"
+                changes = zone_row(JAR_ZONES[number], region=f"r{attempt}")
+                answers[number] = self.fleet.apply(
+                    self.daemons[number], op_id, changes, self.version
+                )
+
+            threads = [threading.Thread(target=race, args=(number,)) for number in range(2)]
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join()
+            if {status for status, _ in answers.values()} == {200, 409}:
+                break
+        winner = min(answers, key=lambda number: answers[number][0])
+        error = answers[1 - winner][1]["error"]
+        self.assertEqual((error["code"], error["ran"]), (4901, "no"))
+        self.assertIn(f"race-{attempt}-operator-{winner}", error["message"])
+        self.in_force(answers[winner][1]["version"])
+
+    def test_the_table_service_down_before_a_change(self):
+        # Guards against a change that is half accepted, and against an outage that stops serving.
+        self.fleet.control(table="down")
+        status, answer = self.fleet.apply(
+            self.daemons[0], "down-before-operation", zone_row("gobi", region="west")
+        )
+        self.assertEqual((status, answer["error"]["code"]), (503, 4902))
+        self.assertEqual(answer["error"]["ran"], "no")
+        # Longer than the freshness limit: from here on majority contact alone carries the service.
+        stale = lambda: all(  # noqa: E731
+            self.fleet.admin(process, "/admin/status")["freshness_s"] > 3.5
+            for process in self.daemons
+        )
+        wait_for(stale, "freshness past its limit")
+        self.assertEqual({code_of(process) for process in self.daemons}, {4003})
+        self.fleet.control(table="up")
+        done = self.accept("down-before-operation", zone_row("gobi", region="west"))
+        self.in_force(done["version"])
+
+    def test_the_table_service_goes_down_during_a_change_and_its_answer_is_lost(self):
+        # Guards against "failed" for a change that took effect, and against a second application.
+        self.fleet.control(lose=1, then="down")
+        status, answer = self.fleet.apply(
+            self.daemons[0], "down-during-operation", zone_row("gobi", region="north")
+        )
+        self.assertEqual((status, answer["error"]["code"]), (503, 4902))
+        self.assertEqual(answer["error"]["ran"], "unknown")
+        self.fleet.control(table="up")
+        done = self.accept("down-during-operation", zone_row("gobi", region="north"))
+        self.assertEqual(done["version"], self.version + 1)
+        self.in_force(done["version"])
+
+
+class Links(unittest.TestCase):
+    def setUp(self):
+        self.fleet = started_fleet(3)
+        self.addCleanup(self.fleet.__exit__)
+        self.daemons = list(self.fleet.daemons.values())
+
+    def apply(self):
+        done = wait_for(
+            lambda: self.fleet.apply(self.daemons[0], "change-operation", zone_row("gobi"))[1].get(
+                "version"
+            ),
+            "acceptance",
+        )
+        self.assertEqual(done, 2)
+
+    def test_a_daemon_cut_off_from_everything_refuses_and_catches_up_before_it_serves(self):
+        # Guards against requests served under a configuration that was replaced meanwhile.
+        self.fleet.set_links("entry-2", "cut")
+        wait_for(lambda: code_of(self.daemons[2]) == 4102, "4102 from the daemon that is cut off")
+        self.apply()
+        self.assertEqual(code_of(self.daemons[2]), 4102)
+        self.fleet.set_links("entry-2", "pass")
+
+        def served():
+            code = code_of(self.daemons[2])
+            version = self.fleet.admin(self.daemons[2], "/admin/status")["version"]
+            self.assertTrue(code in (4101, 4102) or version == 2, (code, version))
+            return code == 4003
+
+        wait_for(served, "service after the cut")
+
+    def test_a_restarted_daemon_beside_a_stale_peer_waits_for_the_higher_version(self):
+        # Guards against a revert when a VM restarts while the table service is down.
+        fleet = self.fleet
+        fleet.set_links("entry-2", "cut")
+        self.apply()
+        wait_for(lambda: fleet.versions()[1] == 2, "version 2 on the second daemon")
+        wait_for(lambda: code_of(self.daemons[2]) == 4102, "4102 from the daemon that is cut off")
+        fleet.control(table="down")
+        self.daemons[0].signal(signal.SIGSTOP)
+        self.daemons[1].kill()
+        restarted = fleet.daemon("entry-1", JAR_ZONES[1], proxied=True)
+        fleet.publish_vms()
+        fleet.set_links("entry-2", "pass")
+
+        def met():
+            status = fleet.admin(restarted, "/admin/status")
+            self.assertFalse(status["serving"])
+            versions = {item["vm_id"]: item["version"] for item in status["daemons"]}
+            return versions.get("entry-2") == 1
+
+        wait_for(met, "contact with the stale peer")
+        # Several rounds of questions go by, each answered by the stale peer alone.
+        dump = fleet.admin(restarted, "/admin/dump")
+        sent = fleet.admin(restarted, "/admin/status")["peer_traffic"]["messages"]
+        wait_for(
+            lambda: fleet.admin(restarted, "/admin/status")["peer_traffic"]["messages"] > sent + 12,
+            "more rounds of questions",
+        )
+        self.assertEqual(code_of(restarted), 4101, dump["configuration"])
+        self.daemons[0].signal(signal.SIGCONT)
+        for process in (restarted, self.daemons[2]):
+            wait_for(lambda process=process: code_of(process) == 4003, "service at version 2")
+            self.assertEqual(fleet.admin(process, "/admin/status")["version"], 2)
