Add a measurement of configuration spread and freshness

Cause: the design keeps push and relayed freshness only if they beat polling, which nobody measured. Ruled out: polling the daemons for the time of application (its own load shifts the result); the daemons' log lines carry the time instead.

--- /dev/null
+++ b/bench/configuration.py
@@ -0,0 +1,152 @@
+"""How fast a change is in force everywhere and what it costs; how fresh daemons know they are.
+
+``python -m bench.configuration [--sizes 3 8 16] [--changes 20] [--seed 1]``
+
+Times come from the daemons' own log lines (one machine, one clock): from the line of the daemon
+that accepted the change to the line of the last daemon that put it in force. The baseline is the
+same daemons learning changes from the table service alone.
+"""
+
+import argparse
+import json
+import os
+import random
+import statistics
+import sys
+import time
+from datetime import datetime
+
+from tests.builders import JAR_ZONES, contract_row, jar_returns_rows
+from tests.fleet import Fleet, wait_for
+
+IDLE_S = 10.0
+SAMPLES = 60
+SAMPLE_S = 0.25
+
+
+def start(size, policy):
+    fleet = Fleet()
+    fleet.command = [sys.executable, "-m", "bench.variant_daemon", json.dumps(policy)]
+    for number in range(size):
+        fleet.daemon(f"entry-{number}", JAR_ZONES[number % 3])
+    fleet.write_configuration(jar_returns_rows())
+    fleet.publish_vms()
+    fleet.wait_ready()
+    for process in fleet.daemons.values():
+        wait_for(
+            lambda process=process: len(fleet.admin(process, "/admin/status")["daemons"]) == size,
+            "a daemon that knows all others",
+        )
+    return fleet
+
+
+def counters(fleet):
+    """Return time, peer bytes and messages of all daemons, and reads of the table service."""
+    traffic = [
+        fleet.admin(process, "/admin/status")["peer_traffic"] for process in fleet.daemons.values()
+    ]
+    return (
+        time.monotonic(),
+        sum(item["bytes"] for item in traffic),
+        sum(item["messages"] for item in traffic),
+        fleet.control()["reads"],
+    )
+
+
+def rates(before, after):
+    seconds = after[0] - before[0]
+    return [(new - old) / seconds for old, new in zip(before[1:], after[1:], strict=True)]
+
+
+def make_changes(fleet, rng, count):
+    """Apply changes one after the other; return the seconds spent and the versions."""
+    daemons, versions = list(fleet.daemons.values()), []
+    for number in range(count):
+        time.sleep(rng.random())  # no fixed phase against the daemons' polls
+        row = contract_row("clerks", concurrency=100 + number)
+        process = rng.choice(daemons)
+        op_id = f"bench-{number}-operation"
+        status, answer = fleet.apply(process, op_id, {"contract/clerks": row})
+        if status != 200:
+            raise RuntimeError(f"not accepted: {answer}")
+        versions.append(answer["version"])
+        wait_for(
+            lambda: set(fleet.versions()) == {versions[-1]}, f"version {versions[-1]} everywhere"
+        )
+    return versions
+
+
+def in_force_times(fleet, versions):
+    """Return for each version the seconds from the first to the last daemon."""
+    seen = {}
+    for line in (fleet.dir / "log").read_text().splitlines():
+        entry = json.loads(line) if line.startswith("{") else {}
+        if entry.get("event") == "config_in_force":
+            at = datetime.fromisoformat(entry["timestamp"]).timestamp()
+            seen.setdefault(entry["version"], {}).setdefault(entry["vm_id"], at)
+    return [max(seen[version].values()) - min(seen[version].values()) for version in versions]
+
+
+def spread_line(size, name, policy, count, seed):
+    with start(size, policy) as fleet:
+        before = counters(fleet)
+        time.sleep(IDLE_S)
+        idle_bytes, idle_messages, idle_reads = rates(before, counters(fleet))
+        before = counters(fleet)
+        versions = make_changes(fleet, random.Random(seed), count)
+        after = counters(fleet)
+        seconds = after[0] - before[0]
+        busy_reads = rates(before, after)[2]
+        per = count * size
+        cost_bytes = (after[1] - before[1] - idle_bytes * seconds) / per
+        cost_messages = (after[2] - before[2] - idle_messages * seconds) / per
+        times = sorted(in_force_times(fleet, versions))
+    print(
+        f"| {size} | {name} | {statistics.median(times):.3f} | {times[-1]:.3f} "
+        f"| {cost_bytes:.0f} | {cost_messages:.2f} | {idle_reads:.1f} | {busy_reads:.1f} |",
+        flush=True,
+    )
+
+
+def freshness_line(size, interval_s, relay):
+    with start(size, {"head_interval_s": interval_s, "relay": relay}) as fleet:
+        time.sleep(2 * interval_s)
+        before, ages = counters(fleet), []
+        for _ in range(SAMPLES):
+            for process in fleet.daemons.values():
+                ages.append(fleet.admin(process, "/admin/status")["freshness_s"])
+            time.sleep(SAMPLE_S)
+        reads = rates(before, counters(fleet))[2]
+    ages.sort()
+    old = sum(age > 3.0 for age in ages) / len(ages)
+    print(
+        f"| {size} | {interval_s:.0f} | {'relay' if relay else 'polling alone'} "
+        f"| {statistics.fmean(ages):.2f} | {ages[len(ages) // 2]:.2f} "
+        f"| {ages[int(len(ages) * 0.99)]:.2f} | {old:.0%} | {reads:.1f} |",
+        flush=True,
+    )
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--sizes", type=int, nargs="+", default=[3, 8, 16])
+    parser.add_argument("--changes", type=int, default=20)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--intervals", type=float, nargs="+", default=[1.0, 5.0])
+    args = parser.parse_args()
+    load = " ".join(f"{value:.1f}" for value in os.getloadavg())
+    print(f"seed {args.seed}, {args.changes} changes for each line, load average {load}\n")
+    print("| daemons | learned by | median s | worst s | B | messages | idle reads/s | reads/s |")
+    print("|---|---|---|---|---|---|---|---|")
+    for size in args.sizes:
+        spread_line(size, "push", {}, args.changes, args.seed)
+        spread_line(size, "polling alone", {"push": False}, args.changes, args.seed)
+    print("\n| daemons | head read every s | | mean age s | p50 | p99 | over 3 s | reads/s |")
+    print("|---|---|---|---|---|---|---|---|")
+    for interval_s in args.intervals:
+        for relay in (True, False):
+            freshness_line(args.sizes[-1], interval_s, relay)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/variant_daemon.py
@@ -0,0 +1,17 @@
+"""Runs a daemon with a configuration policy that the settings do not offer.
+
+``python -m bench.variant_daemon '{"push": false}' serve --config FILE``
+"""
+
+import json
+import sys
+from pathlib import Path
+
+from lovageway import logs, settings
+from lovageway.controllers._standing import Policy
+from lovageway.daemon import Daemon
+
+if __name__ == "__main__":
+    policy = Policy(**json.loads(sys.argv[1]))
+    logs.configure()
+    Daemon(settings.load(Path(sys.argv[4])).ok, policy).run()
