--- a/src/lovageway/_client.py
+++ b/src/lovageway/_client.py
@@ -137,7 +137,7 @@
                 "Look for it in `lovageway config show` before applying anew.",
             )
         if "4902" in reason:
-            return CommandError(NOT_ACCEPTED, reason)
+            return CommandError(NOT_ACCEPTED, f"Nothing was applied. {reason}")
         return CommandError(NO_ANSWER, f"No daemon answered, nothing was applied. {reason}")
 
     def _prefer_others(self, address: str) -> None:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -437,6 +437,21 @@
         world.give(*world.held.pop())
         self.assertGreaterEqual(world.nodes[0]._standing.age(world.now), 2.0)
 
+    def test_a_head_older_than_the_version_in_force_proves_nothing(self):
+        # Guards against freshness from a stale read, and against following it backwards.
+        world = settled(2)
+        world.apply(0, "operator-one", change(0))
+        world.settle(1.0)
+        node, effects = world.nodes[0], []
+        age = node._standing.age(world.now)
+        node.tick(world.now + 2.0, effects.append)
+        read = next(item for item in effects if isinstance(item, ReadRows))
+        rows = {"config/head": Row({"version": 1, "op_id": "seed"}, 1)}
+        node.on_table(TableAnswered(read.op_id, "ok", rows), world.now + 2.1, effects.append)
+        self.assertEqual(node.snapshot.version, 2)
+        self.assertIn(Count("config_stale_heads"), effects)
+        self.assertAlmostEqual(node._standing.age(world.now + 2.1), age + 2.1)
+
     def test_rows_that_cannot_be_parsed_keep_the_previous_version_in_force(self):
         # Guards against a daemon that one broken row stops, and against a deadlock: the row can be
         # replaced by an ordinary change.
