--- a/src/lovageway/controllers/_standing.py
+++ b/src/lovageway/controllers/_standing.py
@@ -1,5 +1,6 @@
 """Whether this daemon is in step with the fleet: freshness, majority and what peers answered."""
 
+from collections import deque
 from typing import NamedTuple
 
 from lovageway.codes import Code, Refusal
@@ -9,6 +10,7 @@
 POLL_S = 0.5
 POLL_ANSWERS_S = 3.0  # for which an answer counts towards more than half of the VMs
 RETRY_AFTER_S = 1.0
+MAX_MISSING = 64  # noted one by one; beyond that only the newest
 NEVER = float("-inf")
 
 
@@ -21,6 +23,35 @@
     head_interval_s: float = 1.0
 
 
+class Missing:
+    """Versions that were heard of and are not here yet, with the time when they first were."""
+
+    def __init__(self) -> None:
+        self._heard: deque[tuple[int, float]] = deque()
+
+    def hear(self, version: int, now: float) -> bool:
+        """Note a version; return whether it is the first that is missing."""
+        first = not self._heard
+        if version > self.newest():
+            if len(self._heard) == MAX_MISSING:
+                self._heard.pop()
+            self._heard.append((version, now))
+        return first
+
+    def moved(self, version: int) -> None:
+        """Note that `version` is here."""
+        while self._heard and self._heard[0][0] <= version:
+            self._heard.popleft()
+
+    def newest(self) -> int:
+        """Return the highest missing version, 0 when none is missing."""
+        return self._heard[-1][0] if self._heard else 0
+
+    def since(self) -> float | None:
+        """Return when the first missing version was heard of, None when none is missing."""
+        return self._heard[0][1] if self._heard else None
+
+
 class Standing:
     """Decides whether requests may be served under the version that is in force here.
 
--- a/src/lovageway/controllers/configuration.py
+++ b/src/lovageway/controllers/configuration.py
@@ -8,7 +8,6 @@
 
 import math
 import random
-from collections import deque
 from collections.abc import Mapping
 from functools import singledispatchmethod
 from typing import NamedTuple
@@ -32,7 +31,7 @@
     parse_rows,
 )
 from lovageway.controllers._spread import MembershipView, Spread
-from lovageway.controllers._standing import NEVER, Policy, Standing
+from lovageway.controllers._standing import NEVER, Missing, Policy, Standing
 from lovageway.controllers.base import Controller
 from lovageway.events import (
     ApplyRequested,
@@ -65,7 +64,6 @@
 FETCH_DELAY_S = 0.1
 LOG_BATCH = 100  # log rows in one read
 REVIEW_S = 0.2
-MAX_AHEAD = 64
 
 
 class _Read(NamedTuple):
@@ -106,7 +104,7 @@
         self._next_head = self._next_review = NEVER
         self._table_ok: bool | None = None
         self._table_at = 0.0  # of its last answer
-        self._ahead: deque[tuple[int, float]] = deque()  # versions not yet here, when first seen
+        self._missing = Missing()
         self._fetches = 0
         self._next_fetch = NEVER
         self._read_all = False  # the log does not lead on from the version here
@@ -119,10 +117,6 @@
 
     # ---- what others ask ------------------------------------------------------------------------
 
-    def ready(self) -> bool:
-        """Tell whether a configuration has been read."""
-        return self.snapshot.version > 0
-
     def status(self, now: float) -> tuple[int, float]:
         """Return version and freshness in seconds (-1: unknown), as told to peers."""
         # While newer rows cannot be parsed, a freshness would be that of another version.
@@ -136,8 +130,7 @@
 
     def may_serve(self, now: float) -> Refusal | None:
         """Return why new requests must be refused, None when they may be served."""
-        behind_since = self._ahead[0][1] if self._ahead else None
-        return self._standing.may_serve(self.snapshot.version, behind_since, now)
+        return self._standing.may_serve(self.snapshot.version, self._missing.since(), now)
 
     def spread(self, version: int, now: float) -> dict[str, object]:
         """Return where a version is in force, and keep asking the others for a while."""
@@ -163,7 +156,7 @@
             "confirmed": self._standing.confirmed,
             "rejected": self._rejected,
             "refuses": refusal.code.name if refusal else None,
-            "ahead": [version for version, _ in self._ahead],
+            "missing": self._missing.newest(),
             "table": self.table_state(now),
             "changes": self._applier.dump(),
             "rows": dump_snapshot(self.snapshot),
@@ -233,7 +226,7 @@
         self._told(sender, address, msg.version, now)
         # While starting, a snapshot older than a version already seen would only be replaced.
         if msg.version <= self.store.version or (
-            not self._standing.started and self._behind(msg.version)
+            not self._standing.started and self._missing.newest() > msg.version
         ):
             return
         rows = self._assembler.add(sender, msg)
@@ -304,8 +297,7 @@
     def _moved(self, entry: LogEntry | None, now: float, emit: Emit) -> None:
         """Put the stored rows in force if they can be parsed."""
         version = self.store.version
-        while self._ahead and self._ahead[0][0] <= version:
-            self._ahead.popleft()
+        self._missing.moved(version)
         self._fetches = 0
         self._standing.moved(version)
         try:
@@ -343,22 +335,13 @@
     def _tell(self, address: str, seq: int, now: float, emit: Emit) -> None:
         emit(SendPeer(address, ConfigState(seq, *self.status(now), self._standing.started)))
 
-    def _behind(self, version: int) -> bool:
-        """Tell whether a version higher than `version` has been seen."""
-        return bool(self._ahead) and self._ahead[-1][0] > version
-
     def _see(self, version: int, now: float, delay: float) -> None:
-        if version <= self.store.version or (self._ahead and version <= self._ahead[-1][0]):
-            return
-        if not self._ahead:
+        if version > self.store.version and self._missing.hear(version, now):
             self._next_fetch = now + delay
-        if len(self._ahead) == MAX_AHEAD:
-            self._ahead.pop()
-        self._ahead.append((version, now))
 
     def _catch_up(self, now: float, emit: Emit) -> None:
         """Ask for what is missing: a peer that has it first, then the table service, in turns."""
-        if not self._ahead or now < self._next_fetch:
+        if not self._missing.newest() or now < self._next_fetch:
             return
         peers = self._spread.ahead(self.store.version, now) if self._policy.push else []
         table_next = self._fetches % 2 == 1 or not peers
@@ -375,7 +358,7 @@
         keys = [] if kind == "all" else [HEAD_KEY]
         if kind == "log":
             first = self.store.version + 1
-            last = min(self._ahead[-1][0], self.store.version + LOG_BATCH)
+            last = min(self._missing.newest(), self.store.version + LOG_BATCH)
             keys += [log_key(version) for version in range(first, last + 1)]
         emit(ReadRows(self._read.op_id, tuple(keys), ROW_PREFIX if kind == "all" else ""))
 
@@ -407,7 +390,7 @@
         """Find out whether this daemon is still in step with the fleet."""
         self._standing.review(self.snapshot.version, now)
         if self._table_ok is False:
-            self._standing.poll(self.snapshot.version, bool(self._ahead), now, emit)
+            self._standing.poll(self.snapshot.version, self._missing.newest() > 0, now, emit)
         serving = self.may_serve(now) is None
         if serving != self._serving:
             self._serving = serving
