Measure with log lines that may share a line; test the wait that ends in vain

Cause: the measurement stopped on two entries in one line: the daemons of a fleet share one log file and structlog writes text and newline separately. Ruled out: one log file for each daemon, which changes tests/fleet.py for every test.

--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -76,11 +76,21 @@
     return versions
 
 
+def log_entries(text):
+    """Yield the log entries; several daemons write one file, so a line may hold two of them."""
+    decoder, position = json.JSONDecoder(), 0
+    while (position := text.find("{", position)) >= 0:
+        try:
+            entry, position = decoder.raw_decode(text, position)
+            yield entry
+        except ValueError:
+            position += 1
+
+
 def in_force_times(fleet, versions):
     """Return for each version the seconds from the first to the last daemon."""
     seen = {}
-    for line in (fleet.dir / "log").read_text().splitlines():
-        entry = json.loads(line) if line.startswith("{") else {}
+    for entry in log_entries((fleet.dir / "log").read_text()):
         if entry.get("event") == "config_in_force":
             at = datetime.fromisoformat(entry["timestamp"]).timestamp()
             seen.setdefault(entry["version"], {}).setdefault(entry["vm_id"], at)
--- a/tests/test_configuration_fleet.py
+++ b/tests/test_configuration_fleet.py
@@ -166,6 +166,10 @@
         wait_for(lambda: code_of(self.daemons[2]) == 4102, "4102 from the daemon that is cut off")
         self.apply()
         self.assertEqual(code_of(self.daemons[2]), 4102)
+        spread = self.fleet.admin(self.daemons[0], "/admin/config/spread?version=2")
+        lacking = [item["vm_id"] for item in spread["missing"]] + spread["not_live"]
+        self.assertIn("entry-2", lacking)
+        self.assertNotIn("entry-2", spread["in_force"])
         self.fleet.set_links("entry-2", "pass")
 
         def served():
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -10,7 +10,7 @@
 
 from typer.testing import CliRunner
 
-from lovageway import _client
+from lovageway import _changes, _client
 from lovageway.cli import app
 from tests.builders import JAR_ZONES, contract_row, jar_returns_rows
 from tests.fleet import Fleet, http, wait_for
@@ -154,6 +154,20 @@
         self.assertEqual(version, before + 1)
         self.assertEqual(self.json_of("config", "show")["version"], before + 1)
 
+    def test_waiting_in_vain_names_the_missing_vms(self):
+        # Guards against --wait that reports a change as in force where it is not.
+        class Fake:
+            def get(self, path):
+                missing = [{"vm_id": "entry-7", "version": 3}]
+                return {"in_force": ["entry-0"], "missing": missing, "not_live": ["entry-9"]}
+
+        wait_s, _changes.WAIT_S = _changes.WAIT_S, 0.0
+        self.addCleanup(setattr, _changes, "WAIT_S", wait_s)
+        with self.assertRaises(_client.CommandError) as caught:
+            _changes._wait(_changes.Session(Fake(), as_json=False), 4)
+        self.assertEqual(caught.exception.exit_code, _client.NOT_EVERYWHERE)
+        self.assertIn("entry-7 (version 3)", str(caught.exception))
+
     def test_another_key_is_refused(self):
         # Guards against an interface that is open to callers.
         (self.fleet.dir / "wrong.key").write_text("x" * 32)
