--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -1,6 +1,8 @@
 """Operators' interface and commands against real daemons."""
 
+import contextlib
 import hashlib
+import io
 import json
 import subprocess
 import sys
@@ -163,7 +165,8 @@
 
         wait_s, _changes.WAIT_S = _changes.WAIT_S, 0.0
         self.addCleanup(setattr, _changes, "WAIT_S", wait_s)
-        with self.assertRaises(_client.CommandError) as caught:
+        said = contextlib.redirect_stderr(io.StringIO())
+        with said, self.assertRaises(_client.CommandError) as caught:
             _changes._wait(_changes.Session(Fake(), as_json=False), 4)
         self.assertEqual(caught.exception.exit_code, _client.NOT_EVERYWHERE)
         self.assertIn("entry-7 (version 3)", str(caught.exception))
