Test that a daemon refuses while it lacks a version it knows of

Cause: nothing guarded the rule that majority contact does not hide a missing version. Ruled out: covering it by random steps, where the missing version is soon delivered.

--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -15,6 +15,7 @@
     ConfigPush,
     ConfigSnapshot,
     LogEntry,
+    Ping,
     decode,
     encode,
 )
@@ -420,6 +421,19 @@
         world.now += 60.0
         self.assertEqual(world.nodes[0].may_serve(world.now).code, Code.CONFIG_STALE)
 
+    def test_a_daemon_that_knows_it_is_behind_and_cannot_catch_up_refuses(self):
+        # Guards against majority contact that hides a version known to be missing here.
+        world = settled(3)
+        world.table_up = False
+        world.settle(5.0)
+        world.nodes[0].on_message("vm1/9", "p1", Ping(1, 2, -1.0, ()), world.now, world.emit(0))
+        world.mail.clear()
+        world.settle(1.0)
+        self.assertIsNone(world.nodes[0].may_serve(world.now))
+        world.settle(3.0)
+        self.assertEqual(world.nodes[0].may_serve(world.now).code, Code.CONFIG_STALE)
+        self.assertIsNone(world.nodes[1].may_serve(world.now))
+
     def test_minority_max_age_extends_service(self):
         # Guards against a setting without effect.
         node = Configuration(None, Policy(minority_max_age_s=60.0))
