End a fleet's processes when its start fails

Cause: three platform stand-ins of failed test starts were still running 13 minutes later, because the clean-up was registered only after the fleet had started. Ruled out: a clean-up in Fleet itself, which cannot know that its user gave up. Conclusion: the clean-up is registered before the first daemon starts.

--- a/tests/test_configuration_fleet.py
+++ b/tests/test_configuration_fleet.py
@@ -13,8 +13,9 @@
     return {f"zone/{name}": {"name": name, "region": f"{name}-region", **fields}}
 
 
-def started_fleet(size):
+def started_fleet(size, add_cleanup):
     fleet = Fleet()
+    add_cleanup(fleet.__exit__)
     for number in range(size):
         fleet.daemon(f"entry-{number}", JAR_ZONES[number % 3], proxied=True)
     fleet.write_configuration(jar_returns_rows())
@@ -41,8 +42,7 @@
 class Table(unittest.TestCase):
     @classmethod
     def setUpClass(cls):
-        cls.fleet = started_fleet(5)
-        cls.addClassCleanup(cls.fleet.__exit__)
+        cls.fleet = started_fleet(5, cls.addClassCleanup)
 
     def setUp(self):
         self.fleet.control(table="up", lose=0, then=None)
@@ -157,8 +157,7 @@
 
 class Links(unittest.TestCase):
     def setUp(self):
-        self.fleet = started_fleet(3)
-        self.addCleanup(self.fleet.__exit__)
+        self.fleet = started_fleet(3, self.addCleanup)
         self.daemons = list(self.fleet.daemons.values())
 
     def apply(self):
