--- a/src/lovageway/daemon.py
+++ b/src/lovageway/daemon.py
@@ -1,6 +1,7 @@
 """Builds a daemon from its settings, runs it and stops it."""
 
 import asyncio
+import contextlib
 import json
 import random
 import secrets
@@ -90,7 +91,7 @@
         keys = [read_secret(path) for path in self._cfg.keys.peer_key_files]
         start_id = secrets.token_hex(4)
         node_id = f"{self._cfg.daemon.vm_id}/{start_id}"
-        self._peers = Peers(node_id, keys, self._receive, self._peer_error)
+        self._peers = Peers(node_id, keys, self._receive, self._peer_error, self._peer_traffic)
         await self._peers.listen(*_host_port(self._cfg.daemon.peer_listen))
         self._peer_listen = self._peers.address
         self._peers.address = self._cfg.daemon.peer_advertise or self._peers.address
@@ -99,12 +100,14 @@
             self._loop.add_signal_handler(sig, lambda: self._runtime.submit(StopRequested()))
         ticks = asyncio.ensure_future(self._tick())
         await self._stopped.wait()
-        ticks.cancel()
+        # Requests that arrive from here on are still answered, with a refusal.
         for server in self._servers:
             await asyncio.to_thread(server.stop)
-        await self._peers.close()
-        self._pool.shutdown(wait=False, cancel_futures=True)
+        ticks.cancel()
         self._load_pool.shutdown(wait=False, cancel_futures=True)
+        # Writes to the table service that were handed over before are carried out.
+        await asyncio.to_thread(self._pool.shutdown)
+        await self._peers.close()
 
     def _listen(self, start_id: str) -> None:
         """Bind the listeners, build the node and print the addresses as one line of JSON."""
@@ -142,7 +145,9 @@
 
     def _options(self) -> Options:
         cfg = self._cfg
-        return Options(cfg.routing.policy, cfg.platform.weight_loads_per_s, self._policy)
+        return Options(
+            cfg.routing.policy, cfg.platform.weight_loads_per_s, self._policy, cfg.daemon.seeds
+        )
 
     async def _tick(self) -> None:
         while True:
@@ -161,6 +166,10 @@
     def _traffic(self) -> dict[str, int]:
         return {"bytes": self._peers.bytes_sent, "messages": self._peers.messages_sent}
 
+    def _peer_traffic(self, direction: str, size: int) -> None:
+        self._metrics.add(Count("peer_messages", (direction,)))
+        self._metrics.add(Count("peer_bytes", (direction,), size))
+
     def _background(self, call: Callable[..., object], *args: object) -> None:
         def run() -> None:
             try:
@@ -169,7 +178,9 @@
                 # A future nobody waits for would hide the error.
                 log.exception("background_call_failed")
 
-        self._pool.submit(run)
+        # While the daemon stops, the pool takes nothing new.
+        with contextlib.suppress(RuntimeError):
+            self._pool.submit(run)
 
     @singledispatchmethod
     def _perform(self, effect: Effect) -> None:
--- a/src/lovageway/filters/readiness.py
+++ b/src/lovageway/filters/readiness.py
@@ -4,16 +4,25 @@
 
 from lovageway.chain import Context, Filter, Verdict, stop
 from lovageway.controllers.configuration import Configuration
+from lovageway.controllers.discovery import Discovery
+from lovageway.controllers.drain import Drain
 from lovageway.events import Emit
 
+MAX_OTHERS = 8
+
 
 class Readiness(Filter):
-    """Lets requests pass while every accepted change is known to be in force here."""
+    """Lets requests pass while every accepted change is in force here and no stop refuses them."""
 
-    def __init__(self, configuration: Configuration) -> None:
+    def __init__(self, configuration: Configuration, drain: Drain, discovery: Discovery) -> None:
         self._configuration = configuration
+        self._drain = drain
+        self._discovery = discovery
 
     def admit(self, ctx: Context, now: float, emit: Emit) -> Verdict:
-        """Refuse while there is no configuration, or while it may be out of date."""
+        """Refuse while the configuration may be out of date, and when about to stop."""
+        if self._drain.refusing(now):
+            others = self._discovery.addresses(None, ctx.req.request_id)[:MAX_OTHERS]
+            return stop(Refusal(Code.LEAVING, addresses=others, retry_after_s=0.0))
         refusal = self._configuration.may_serve(now)
         return Ok(ctx) if refusal is None else stop(refusal)
--- a/src/lovageway/metrics.py
+++ b/src/lovageway/metrics.py
@@ -23,6 +23,11 @@
     "config_learned": ("Configuration versions put in force, by how they came.", ("source",)),
     "config_rejected": ("Configuration versions kept out because rows cannot be parsed.", ()),
     "config_stale_heads": ("Reads of a head older than the version in force.", ()),
+    "member_changes": ("Members that took a new state.", ("state",)),
+    "member_entries_rejected": ("Member entries that were malformed or too many.", ()),
+    "refutations": ("Wrong entries about this daemon that it refuted.", ()),
+    "peer_messages": ("Messages and handshakes between daemons.", ("direction",)),
+    "peer_bytes": ("Bytes of messages and handshakes between daemons.", ("direction",)),
     "peer_errors": ("Peer connections dropped or messages lost.", ("reason",)),
 }
 
--- a/src/lovageway/node.py
+++ b/src/lovageway/node.py
@@ -5,12 +5,16 @@
 from functools import singledispatchmethod
 from typing import NamedTuple
 
+from expression import Error, Ok, Result
+
 from lovageway.chain import Chain, Context
 from lovageway.codes import Code, Refusal
 from lovageway.controllers._standing import Policy
 from lovageway.controllers.backends import Backends
 from lovageway.controllers.base import Controller
 from lovageway.controllers.configuration import Configuration
+from lovageway.controllers.discovery import Discovery
+from lovageway.controllers.drain import Drain
 from lovageway.controllers.lengths import Lengths
 from lovageway.controllers.membership import Membership
 from lovageway.controllers.orders import Orders
@@ -32,7 +36,6 @@
     Refuse,
     RequestArrived,
     StartAttempt,
-    Stopped,
     StopRequested,
     TableAnswered,
     Tick,
@@ -58,6 +61,7 @@
     policy: PolicyName = "memory"  # how to choose among servers; the others are baselines
     weight_loads_per_s: float = 1.0  # what the weight store allows
     configuration: Policy = Policy()
+    seeds: tuple[str, ...] = ()  # peer addresses to contact while the VM list does not help
 
 
 DEFAULT_OPTIONS = Options()
@@ -80,19 +84,22 @@
         self, identity: Identity, rng: random.Random, options: Options = DEFAULT_OPTIONS
     ) -> None:
         self.configuration = Configuration(rng, options.configuration)
-        self.membership = Membership(identity, rng, self.configuration.status)
+        self.membership = Membership(identity, rng, self.configuration.status, options.seeds)
         self.configuration.connect(self.membership)
         self.shares = Shares(self.membership)
         self.backends = Backends(self.membership, self.configuration, self.shares)
         self.shares.register("account", AccountLimits(self.configuration))
         self.shares.register("server", self.backends)
         self.lengths = Lengths()
+        self.discovery = Discovery(self.membership, self.configuration)
+        self.drain = Drain(self.membership)
         self._controllers: dict[str, Controller] = {
             "membership": self.membership,
             "configuration": self.configuration,
             "backends": self.backends,
             "shares": self.shares,
             "lengths": self.lengths,
+            "drain": self.drain,
         }
         self.streams = Streams(self.membership)
         self._controllers["streams"] = self.streams
@@ -105,7 +112,7 @@
         self._controllers["orders"] = self.orders
         self._attempt = Attempt()
         self.authenticate = Authenticate(self.configuration)
-        readiness = Readiness(self.configuration)
+        readiness = Readiness(self.configuration, self.drain, self.discovery)
         self._resumes = Chain(
             [readiness, self.authenticate, Resumption(self.membership, self.streams)]
         )
@@ -125,7 +132,6 @@
         )
         self._history: OrderedDict[str, list[dict[str, object]]] = OrderedDict()
         self._effects: list[Effect] = []
-        self._stopping = False
 
     def handle(self, event: Event, now: float) -> list[Effect]:
         """Return the effects of an event at the time `now` (seconds, monotonic)."""
@@ -150,6 +156,19 @@
         """Return what was decided about a recent request, oldest first."""
         return list(self._history.get(request_id, ()))
 
+    def discover(
+        self, api_key: str, service: str, zone: str, caller: str
+    ) -> Result[tuple[str, ...], Refusal]:
+        """Return the addresses that the key's account should use for a service."""
+        if not self.configuration.ready():
+            return Error(Refusal(Code.STARTING, retry_after_s=1.0))
+        contract = self.authenticate.contract(api_key)
+        if contract is None:
+            return Error(Refusal(Code.UNKNOWN_KEY))
+        if service not in contract.services:
+            return Error(Refusal(Code.UNKNOWN_MODEL, f"Service: {service[:80]!r}."))
+        return Ok(self.discovery.addresses(contract, caller, zone))
+
     def _emit(self, effect: Effect) -> None:
         self._effects.append(effect)
 
@@ -171,7 +190,7 @@
             item.tick(now, self._emit)
         self.chain.poll(now, self._emit)
         self._release_ended(now)
-        self._finish_stop()
+        self.drain.finish(len(self.chain) + len(self._resumes), now, self._emit)
 
     @_on.register
     def _(self, event: RequestArrived, now: float) -> None:
@@ -242,7 +261,7 @@
 
     @_on.register
     def _(self, event: VmListRead, now: float) -> None:
-        self.membership.on_vm_list(event.vms)
+        self.membership.on_vm_list(event.vms, now)
 
     @_on.register
     def _(self, event: LoadRead, now: float) -> None:
@@ -263,11 +282,5 @@
 
     @_on.register
     def _(self, event: StopRequested, now: float) -> None:
-        self._emit(Count("stops"))
-        self._stopping = True
+        self.drain.begin(now, self._emit)
         self.orders.resign(now, self._emit)
-        self._finish_stop()
-
-    def _finish_stop(self) -> None:
-        if self._stopping and not len(self.chain) and not len(self._resumes):
-            self._emit(Stopped())
--- a/src/lovageway/settings.py
+++ b/src/lovageway/settings.py
@@ -26,6 +26,8 @@
     operator_listen: HostPort = Field("127.0.0.1:0", description="Operators' listener.")
     peer_advertise: HostPort | None = Field(
         None, description="Address at which other daemons reach peer_listen, when it differs."
+    seeds: tuple[HostPort, ...] = Field(
+        (), max_length=16, description="Peer listeners to contact in addition to the VM list."
     )
     worker_threads: int = Field(
         200, ge=4, le=2000, description="Requests served at the same time by this daemon."
