--- a/src/lovageway/adapters/callers.py
+++ b/src/lovageway/adapters/callers.py
@@ -105,7 +105,7 @@
             raise BadRequestError(Refusal(Code.MALFORMED, "Name a service: ?service=S."))
         caller = f"{environ.get('REMOTE_ADDR')}:{environ.get('REMOTE_PORT')}"
         key = _api_key(environ)
-        found = self._runtime.read(lambda node, now: node.discover(key, service, zone, caller))
+        found = self._runtime.read(lambda node, now: node.discover(key, service, zone, caller, now))
         if found.is_error():
             return respond.refuse(found.error)
         return respond.json(200, {"addresses": found.ok, "ttl_s": TTL_S}, [])
--- a/src/lovageway/controllers/holding.py
+++ b/src/lovageway/controllers/holding.py
@@ -14,6 +14,7 @@
 MIN_ASK_INTERVAL_S = 0.025
 RETRY_ASK_S = 0.25  # between asks after the owner had nothing more to give
 RATE_SMOOTHING = 0.5
+ROUNDING = 1e-9  # of sums of floats; nine tenths and one tenth must make one request
 
 
 class Shortage(NamedTuple):
@@ -89,7 +90,7 @@
         """Take the amounts for the request `key`, or note its need and say what is missing."""
         self.used_at = now
         for part, amount in enumerate(amounts):
-            if now >= self.expires or self.free(part, now) < amount:
+            if now >= self.expires or self.free(part, now) + ROUNDING < amount:
                 return self._miss(key, part, amounts, now)
         self._unmet.pop(key, None)
         self.take(amounts, now)
@@ -236,7 +237,10 @@
 
     def _need(self, part: int, kind: Kind, unmet: float, now: float) -> float:
         if kind == "held":
-            recent = self._peak[part] if now - self._peak_at <= ACTIVE_S else 0.0
+            # A peak counts only while something runs: a running request notices that its server
+            # has started anew, so credit for the earlier run is not used after it.
+            active = any(self.in_use) and now - self._peak_at <= ACTIVE_S
+            recent = self._peak[part] if active else 0.0
             return max(self.in_use[part], recent) + unmet
         debt = max(0.0, -self._levels[part])
         return self._rates[part] + unmet / UNMET_S + debt
--- a/src/lovageway/controllers/ledger.py
+++ b/src/lovageway/controllers/ledger.py
@@ -25,6 +25,7 @@
     amounts: tuple[float, ...]
     start_id: str = ""  # of the backend server that the amounts are for
     committed: tuple[float, ...] = ()  # lower bound of what is in use, from a load report
+    idle_spare: float = math.inf  # of the first part, for all holders that use nothing
 
 
 class _Grant(NamedTuple):
@@ -63,6 +64,7 @@
         self._total = list(self._zero)
         self._targets: dict[str, tuple[float, ...]] = {}
         self._divided = float("-inf")
+        self._divided_for: tuple[float, ...] = ()
         self._dirty = True
         self._number = 0
         self._pool: list[float] | None = None
@@ -91,6 +93,8 @@
 
     def grant(self, node: str, limit: Limit, now: float) -> GrantLine:
         """Return the answer to the holder's last request."""
+        if len(self._entries) <= FEW_HOLDERS or now - self._divided >= MIN_DIVISION_INTERVAL_S:
+            self._expire(now)
         entry = self._entries[node]
         self._refill(limit, now)
         self._divide(limit, now)
@@ -239,9 +243,10 @@
 
     def _divide(self, limit: Limit, now: float) -> None:
         throttled = len(self._entries) > FEW_HOLDERS
-        if not self._dirty or (throttled and now - self._divided < MIN_DIVISION_INTERVAL_S):
+        changed = self._dirty or limit.amounts != self._divided_for
+        if not changed or (throttled and now - self._divided < MIN_DIVISION_INTERVAL_S):
             return
-        self._divided, self._dirty = now, False
+        self._divided, self._dirty, self._divided_for = now, False, limit.amounts
         nodes = [node for node, item in self._entries.items() if item.heard + GRANT_S > now]
         columns = [
             _divide_part(
@@ -249,6 +254,7 @@
                 [self._entries[node].in_use[part] for node in nodes],
                 [self._entries[node].wanted[part] for node in nodes],
                 limit.amounts[part],
+                math.inf if part else limit.idle_spare,
             )
             for part, kind in enumerate(self.kinds)
         ]
@@ -299,7 +305,9 @@
     return max([entry.heard + GRANT_S * DRIFT, *(grant.expires for grant in entry.grants)])
 
 
-def _divide_part(kind: Kind, in_use: list[float], wanted: list[float], limit: float) -> list[float]:
+def _divide_part(
+    kind: Kind, in_use: list[float], wanted: list[float], limit: float, idle_spare: float
+) -> list[float]:
     """Return each holder's part: what is in use, then needs evenly, then some spare."""
     floors = [min(*both) for both in zip(in_use, wanted, strict=True)]
     used, needed = sum(floors), sum(wanted)
@@ -311,7 +319,14 @@
         return _fill(floors, wanted, limit, whole)
     spare = (limit - needed) * RESERVE_PART / max(len(wanted), 1)
     least = max(limit * LEAST_SPARE_PART, 1.0 if whole else 0.0)
-    return [want + min(spare, max(least, want * SPARE_PART)) for want in wanted]
+    divided = []
+    for used, want in zip(in_use, wanted, strict=True):
+        extra = min(spare, max(least, want * SPARE_PART))
+        if not used:
+            extra = min(math.floor(extra) if whole else extra, idle_spare)
+            idle_spare -= extra
+        divided.append(want + extra)
+    return divided
 
 
 def _fill(floors: list[float], wanted: list[float], limit: float, whole: bool) -> list[float]:
--- a/src/lovageway/daemon.py
+++ b/src/lovageway/daemon.py
@@ -80,6 +80,7 @@
         # Threads of their own, so that silent servers delay no other server's report for long.
         self._load_pool = ThreadPoolExecutor(LOAD_THREADS, thread_name_prefix="load")
         self._loads: set[str] = set()
+        self._messages_sent = self._bytes_sent = 0  # to other daemons
 
     def run(self) -> None:
         """Serve until a planned stop is complete."""
@@ -164,9 +165,12 @@
         self._metrics.add(Count("peer_errors", (reason,)))
 
     def _traffic(self) -> dict[str, int]:
-        return {"bytes": self._peers.bytes_sent, "messages": self._peers.messages_sent}
+        return {"bytes": self._bytes_sent, "messages": self._messages_sent}
 
     def _peer_traffic(self, direction: str, size: int) -> None:
+        if direction != "received":
+            self._messages_sent += 1
+            self._bytes_sent += size
         self._metrics.add(Count("peer_messages", (direction,)))
         self._metrics.add(Count("peer_bytes", (direction,), size))
 
--- a/src/lovageway/filters/readiness.py
+++ b/src/lovageway/filters/readiness.py
@@ -3,6 +3,7 @@
 from expression import Ok
 
 from lovageway.chain import Context, Filter, Verdict, stop
+from lovageway.codes import Code, Refusal
 from lovageway.controllers.configuration import Configuration
 from lovageway.controllers.discovery import Discovery
 from lovageway.controllers.drain import Drain
--- a/src/lovageway/filters/routing.py
+++ b/src/lovageway/filters/routing.py
@@ -96,12 +96,15 @@
     def options(self, ctx: Context, memory: int, now: float) -> list[ServerView]:
         """Return the servers that have credit for the request."""
         batch = ctx.request_class == BATCH
-        return [
+        views = [
             view
             for view in self._backends.credits(ctx.req.service, now)
-            if view.vm.vm_id not in ctx.tried
-            and fits(view, memory, batch, self._own.get(view.vm.vm_id, _NOTHING))
+            if fits(view, memory, batch, self._own.get(view.vm.vm_id, _NOTHING))
         ]
+        untried = [view for view in views if view.vm.vm_id not in ctx.tried]
+        if untried or self._backends.has_other(ctx.req.service, ctx.tried):
+            return untried
+        return views  # every server has failed once; each may have come back
 
     def want(self, ctx: Context, memory: int, now: float) -> None:
         """Note the need of a request that found no credit."""
--- a/src/lovageway/node.py
+++ b/src/lovageway/node.py
@@ -157,11 +157,12 @@
         return list(self._history.get(request_id, ()))
 
     def discover(
-        self, api_key: str, service: str, zone: str, caller: str
+        self, api_key: str, service: str, zone: str, caller: str, now: float
     ) -> Result[tuple[str, ...], Refusal]:
         """Return the addresses that the key's account should use for a service."""
-        if not self.configuration.ready():
-            return Error(Refusal(Code.STARTING, retry_after_s=1.0))
+        refusal = self.configuration.may_serve(now)
+        if refusal is not None:
+            return Error(refusal)
         contract = self.authenticate.contract(api_key)
         if contract is None:
             return Error(Refusal(Code.UNKNOWN_KEY))
--- a/src/lovageway/settings.py
+++ b/src/lovageway/settings.py
@@ -26,6 +26,7 @@
     operator_listen: HostPort = Field("127.0.0.1:0", description="Operators' listener.")
     peer_advertise: HostPort | None = Field(
         None, description="Address at which other daemons reach peer_listen, when it differs."
+    )
     seeds: tuple[HostPort, ...] = Field(
         (), max_length=16, description="Peer listeners to contact in addition to the VM list."
     )
