--- a/src/lovageway/filters/admission.py
+++ b/src/lovageway/filters/admission.py
@@ -1,6 +1,7 @@
 """Decides when a request may go to a server: predicted memory, classes and a bounded queue."""
 
 from collections import OrderedDict
+from itertools import islice
 from math import exp
 from typing import NamedTuple
 
@@ -11,12 +12,14 @@
 from lovageway.controllers.backends import MEMORY_PART, Backends
 from lovageway.controllers.lengths import Lengths
 from lovageway.events import Count, Emit
-from lovageway.filters.routing import BATCH_PART, NO_SERVER_RETRY_S, Routing
+from lovageway.filters.routing import BATCH_PART, NO_SERVER_RETRY_S, REMAINDER_PART, Routing
 from lovageway.model import BATCH, INTERACTIVE
 
-CHARGE_QUANTILE = 0.8
 # Every waiting request occupies a worker thread; batch must not take those of interactive ones.
 MAX_WAITING = {INTERACTIVE: 128, BATCH: 64}
+# Only the first waiting requests ask for more credit. When all of them did, their lines to the
+# owners of servers used up the budget of share messages, and account shares expired (4205).
+WANTING = 4
 MIN_RETRY_S = 0.5
 MAX_RETRY_S = 60.0
 
@@ -109,7 +112,6 @@
                 del lane.waiting[request_id]
                 lane.drain.serve(memory or 1)
             return Ok(ctx._replace(memory=memory))
-        self._routing.want(ctx, memory, now)
         if not queued:
             refusal = self._overload(ctx, lane, memory)
             if refusal is not None:
@@ -117,6 +119,8 @@
                 return stop(refusal)
             emit(Count("queued", (ctx.request_class,)))
         lane.waiting[request_id] = memory
+        if request_id in islice(lane.waiting, WANTING):
+            self._routing.want(ctx, memory, now)
         return stop(self._wait(ctx, lane, memory, now))
 
     def abandon(self, ctx: Context, now: float, emit: Emit) -> None:
@@ -155,7 +159,7 @@
         if not self._uses_memory or ctx.service.kind != "engine":
             return 0
         curve = self._lengths.curve(ctx.contract.account, ctx.service.name, ctx.request_class)
-        output = min(ctx.req.max_tokens, curve.quantile(CHARGE_QUANTILE))
+        output = round(REMAINDER_PART * curve.remainder(0, ctx.req.max_tokens))
         views = self._backends.credits(ctx.service.name, now)
         capacity = max((view.memory_capacity for view in views), default=0)
         most = int((int(capacity * MEMORY_PART) - 2) * BATCH_PART)  # 2: capacity is rounded
