Claim calls before sending, budget retries and mark poison requests

Cause: a resent refund ran again, a dead service was tried three times for each request, and a request that ends its engine was retried on the next one.

A claim row is inserted on condition of absence before a call is sent; every later write is conditioned on the row's revision, so late writes change nothing.

Retry budgets earn on answered requests.

--- a/src/lovageway/adapters/callers.py
+++ b/src/lovageway/adapters/callers.py
@@ -70,7 +70,10 @@
         try:
             return self._route(environ, request_id, respond)
         except BadRequestError as exc:
-            return respond.refuse(exc.refusal)
+            refusal = exc.refusal
+            if "HTTP_IDEMPOTENCY_KEY" in environ:
+                refusal = refusal._replace(earlier="unknown")
+            return respond.refuse(refusal)
 
     def _route(self, environ: Environ, request_id: str, respond: Responder) -> Iterable[bytes]:
         method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
--- a/src/lovageway/chain.py
+++ b/src/lovageway/chain.py
@@ -27,7 +27,10 @@
     delivered: int = 0  # output tokens that the caller has
     finished: bool = False  # the whole answer has been read
     claim_revision: int = 0  # of this request's row in the table service, 0: none
+    claim_epoch: tuple[int, int] = (0, 0)  # see controllers.claims.Epoch
     lookup_done: bool = False
+    only: str = ""  # the one server that may be used, "": any that has not been tried
+    maybe_ran: bool = False  # an attempt has failed that is not proved "not run"
 
 
 class Wait(NamedTuple):
@@ -134,8 +137,9 @@
 
     def refuse(self, request_id: str, refusal: Refusal, now: float, emit: Emit) -> None:
         """End a request with a refusal."""
-        if self._close(request_id, now, emit):
-            emit(Refuse(request_id, refusal))
+        entry = self._entries.get(request_id)
+        if entry is not None and self._close(request_id, now, emit):
+            emit(Refuse(request_id, truthful(entry.ctx, refusal)))
 
     def finish(self, request_id: str, now: float, emit: Emit) -> None:
         """End a request whose answer is whole."""
@@ -172,11 +176,11 @@
         self._close(request_id, now, emit)
         match stop:
             case Wait(refusal, _):
-                emit(Refuse(request_id, refusal))
+                emit(Refuse(request_id, truthful(ctx, refusal)))
             case Answered(answer):
                 emit(Replay(request_id, answer))
             case Refusal():
-                emit(Refuse(request_id, stop))
+                emit(Refuse(request_id, truthful(ctx, stop)))
 
     def _close(self, request_id: str, now: float, emit: Emit) -> bool:
         entry = self._entries.pop(request_id, None)
@@ -191,6 +195,21 @@
             item.release(ctx, now, emit)
 
 
+def truthful(ctx: Context, refusal: Refusal) -> Refusal:
+    """Return the refusal without a claim of "not run" that this request's course does not bear.
+
+    A filter knows only its own reason; an earlier attempt of the request, or an earlier call with
+    its key, may have run all the same.
+    """
+    if refusal.effect != "no":
+        return refusal
+    if ctx.maybe_ran:
+        return refusal._replace(ran="unknown")
+    if ctx.req.idempotency_key is not None and not ctx.lookup_done:
+        return refusal._replace(earlier="unknown")
+    return refusal
+
+
 def stop(refusal: Refusal | Wait | Answered) -> Verdict:
     """Return the verdict that ends the request or makes it wait."""
     return Error(refusal)
--- a/src/lovageway/codes.py
+++ b/src/lovageway/codes.py
@@ -32,6 +32,7 @@
     OUTCOME_UNKNOWN = 4502
     IN_PROGRESS = 4503
     OUTCOME_UNKNOWN_NOW = 4504
+    ANSWER_NOT_STORED = 4505
     STREAM_LOST = 4601
     GENERATION_LOST = 4602
     ATTEMPT_FAILED = 4603
@@ -118,6 +119,9 @@
     Code.OUTCOME_UNKNOWN_NOW: CodeInfo(
         502, "unknown", "The answer was lost after the call was sent.", "Check the effect."
     ),
+    Code.ANSWER_NOT_STORED: CodeInfo(
+        409, "yes", "The call ran once; its answer is too large to keep.", "Read the effect back."
+    ),
     Code.STREAM_LOST: CodeInfo(
         502, "yes", "The stream could not be carried on from here.", "Resume with the token."
     ),
@@ -148,6 +152,7 @@
     detail: str = ""
     retry_after_s: float | None = None
     ran: Ran | None = None  # overrides the table where this case is known better
+    earlier: Literal["unknown"] | None = None  # set where earlier calls with the key may have run
 
     @property
     def effect(self) -> Ran:
@@ -158,12 +163,13 @@
         """Return the body of the error response."""
         info = INFO[self.code]
         message = f"{info.meaning} {self.detail}".strip()
-        return {
-            "error": {
-                "code": int(self.code),
-                "name": self.code.name,
-                "message": f"{message} {info.remedy}",
-                "ran": self.effect,
-                "retry_after_s": self.retry_after_s,
-            }
+        error: dict[str, object] = {
+            "code": int(self.code),
+            "name": self.code.name,
+            "message": f"{message} {info.remedy}",
+            "ran": self.effect,
+            "retry_after_s": self.retry_after_s,
         }
+        if self.earlier is not None:
+            error["earlier_submissions"] = self.earlier
+        return {"error": error}
--- /dev/null
+++ b/src/lovageway/controllers/claims.py
@@ -0,0 +1,421 @@
+"""At most once: a claim row is written before a call is sent and is never taken over.
+
+Every write is conditioned on a revision, so a write that lands late changes nothing. See
+`lovageway.claimrows` for the row's states.
+"""
+
+from collections.abc import Callable
+from typing import Literal, NamedTuple
+
+from lovageway.chain import Context
+from lovageway.claimrows import (
+    EPOCH_KEY,
+    Epoch,
+    Stop,
+    done,
+    index_key,
+    read_epoch,
+    settled,
+)
+from lovageway.codes import Code, Refusal
+from lovageway.controllers.base import Controller
+from lovageway.events import (
+    Count,
+    Emit,
+    Failure,
+    ReadRows,
+    Row,
+    StateChanged,
+    TableAnswered,
+    Transact,
+)
+
+TABLE_WAIT_S = 2.0  # a caller waits no longer than this for the lookup, and for the claim
+DOWN_RETRY_S = 5.0
+BUSY_RETRY_S = 1.0
+MAX_UNWRITTEN = 256  # no new claims beyond this, as results must not be dropped; 4 MB of answers
+MAX_WRITES = 8  # background writes of one daemon at the same time
+MAX_INSERTS = 5  # of one claim after conflicts in which nothing was written
+FIRST_BACKOFF_S, LAST_BACKOFF_S = 0.5, 5.0
+STOP_WAIT_S = 5.0  # a planned stop waits no longer for a write; the row then stays "sent"
+RUN_MARGIN_S = 60.0  # past the service's timeout an attempt without outcome counts as lost
+NOT_RUN: tuple[Failure, ...] = ("refused", "connect")
+
+
+class Reading(NamedTuple):
+    """A lookup under way."""
+
+    until: float
+    answer: TableAnswered | None
+
+
+class Claim(NamedTuple):
+    """One claim of this daemon until its outcome is written."""
+
+    op_id: str
+    request_id: str
+    row_key: str
+    fingerprint: str
+    condition: int  # revision that the insert is conditioned on
+    epoch: Epoch
+    phase: Literal["inserting", "checking", "held", "running", "writing"]
+    until: float  # deadline of the insert, of the run, or time of the next write
+    run_s: float  # how long a run may last
+    revision: int = 0  # of this claim's row, 0: not confirmed
+    inserts: int = 1
+    detached: bool = False  # the request has ended while the call runs
+    outcome: dict[str, object] | None = None
+    settled: float = 0.0  # when the outcome was known
+    backoff: float = FIRST_BACKOFF_S
+    pending: bool = False  # a background operation waits for its answer
+
+
+class Claims(Controller):
+    """Owner of the claims that this daemon holds.
+
+    Parameters
+    ----------
+    node
+        Node id of this daemon.
+    live
+        Returns the node ids of the live daemons.
+    """
+
+    def __init__(self, node: str, live: Callable[[], set[str]]) -> None:
+        self._node = node
+        self._live = live
+        self._number = 0
+        self._readings: dict[str, Reading] = {}
+        self._claims: dict[str, Claim] = {}
+        self._by_request: dict[str, str] = {}
+        self._by_row: dict[str, str] = {}
+        self._stops: dict[str, Stop] = {}
+        self._ready: list[str] = []
+
+    # ---- lookup ---------------------------------------------------------------------------------
+
+    def look_up(self, request_id: str, row_key: str, now: float, emit: Emit) -> Reading:
+        """Return the state of the lookup and start it when there is none."""
+        if request_id not in self._readings:
+            self._readings[request_id] = Reading(now + TABLE_WAIT_S, None)
+            emit(ReadRows(f"lookup|{request_id}", (row_key, EPOCH_KEY)))
+        return self._readings[request_id]
+
+    def end_lookup(self, request_id: str) -> None:
+        """Forget a lookup."""
+        self._readings.pop(request_id, None)
+
+    def local(self, row_key: str, fingerprint: str) -> Stop | None:
+        """Return what a resend gets from this daemon's own claims, None to ask the table."""
+        claim = self._claims.get(self._by_row.get(row_key, ""))
+        if claim is None or (claim.phase == "writing" and not claim.revision):
+            return None
+        if claim.fingerprint != fingerprint:
+            return Refusal(Code.IDEMPOTENCY_KEY_REUSED)
+        if claim.outcome is None:
+            return Refusal(Code.IN_PROGRESS, retry_after_s=BUSY_RETRY_S)
+        if claim.outcome["state"] == "not_run":
+            return Refusal(Code.CLAIM_UNKNOWN, retry_after_s=BUSY_RETRY_S)
+        return settled(claim.outcome)
+
+    def judge(self, row: Row | None, fingerprint: str) -> Stop | int:
+        """Return what a resend gets, or the revision on which it may claim."""
+        if row is None:
+            return 0
+        value = row.value
+        if value.get("fingerprint") != fingerprint:
+            return Refusal(Code.IDEMPOTENCY_KEY_REUSED)
+        match value.get("state"):
+            case "not_run":
+                return row.revision
+            case "sent":
+                return self._sent(value)
+        return settled(value)
+
+    def _sent(self, value: dict[str, object]) -> Refusal:
+        held = self._claims.get(str(value.get("op_id")))
+        if value.get("node") == self._node:
+            if held is None:
+                return Refusal(Code.OUTCOME_UNKNOWN)
+            if held.outcome and held.outcome["state"] == "not_run":
+                return Refusal(Code.CLAIM_UNKNOWN, retry_after_s=BUSY_RETRY_S)
+        elif value.get("node") not in self._live():
+            return Refusal(Code.OUTCOME_UNKNOWN)
+        return Refusal(Code.IN_PROGRESS, retry_after_s=BUSY_RETRY_S)
+
+    # ---- claim ----------------------------------------------------------------------------------
+
+    def insert(self, ctx: Context, row_key: str, now: float, emit: Emit) -> Refusal | None:
+        """Start to claim; None when the insert is under way."""
+        if sum(claim.phase == "writing" for claim in self._claims.values()) >= MAX_UNWRITTEN:
+            return Refusal(Code.TABLE_DOWN, "Results wait to be written.", DOWN_RETRY_S)
+        assert ctx.service is not None
+        self._number += 1
+        claim = Claim(
+            f"{self._node}#{self._number}",
+            ctx.req.request_id,
+            row_key,
+            ctx.req.fingerprint,
+            ctx.claim_revision,
+            Epoch(*ctx.claim_epoch),
+            "inserting",
+            now + TABLE_WAIT_S,
+            ctx.service.timeout_s + RUN_MARGIN_S,
+        )
+        self._by_request[claim.request_id] = self._by_row[row_key] = claim.op_id
+        self._insert(claim, emit)
+        return None
+
+    def of_request(self, request_id: str) -> Claim | None:
+        """Return the claim of a request."""
+        return self._claims.get(self._by_request.get(request_id, ""))
+
+    def take_stop(self, request_id: str) -> Stop | None:
+        """Return once what ended the claim of a request before it was held."""
+        return self._stops.pop(request_id, None)
+
+    def take_ready(self) -> list[str]:
+        """Return once the requests whose lookup or claim has moved on."""
+        ready, self._ready = self._ready, []
+        return ready
+
+    def running(self, request_id: str, now: float) -> None:
+        """Note that the call is being sent under the held claim."""
+        claim = self.of_request(request_id)
+        assert claim is not None
+        assert claim.phase == "held"
+        self._put(claim._replace(phase="running", until=now + claim.run_s))
+
+    def finished(self, request_id: str, answer: str | None, now: float, emit: Emit) -> None:
+        """Store the answer of a call."""
+        claim = self.of_request(request_id)
+        if claim is not None and claim.phase == "running":
+            self._settle(claim, done(answer), now, emit)
+
+    def failed(self, request_id: str, failure: Failure, now: float, emit: Emit) -> None:
+        """Take the failure of an attempt; a claim whose call did not run may be used again."""
+        claim = self.of_request(request_id)
+        if claim is None or claim.phase != "running":
+            return
+        if failure not in NOT_RUN:
+            self._settle(claim, {"state": "unknown"}, now, emit)
+        elif claim.detached:
+            self._settle(claim, {"state": "not_run"}, now, emit)
+        else:
+            self._put(claim._replace(phase="held"))
+
+    def closed(self, request_id: str, now: float, emit: Emit) -> None:
+        """Take the end of a request; what was never sent becomes "not_run"."""
+        self.end_lookup(request_id)
+        self._stops.pop(request_id, None)
+        claim = self.of_request(request_id)
+        if claim is None or claim.phase == "writing":
+            return
+        if claim.phase == "running":
+            self._put(claim._replace(detached=True))
+        else:
+            self._settle(claim, {"state": "not_run"}, now, emit)
+
+    def busy(self, now: float) -> bool:
+        """Tell whether a planned stop has to wait for calls or for their results' writes."""
+        return any(
+            claim.outcome is None or now < claim.settled + STOP_WAIT_S
+            for claim in self._claims.values()
+        )
+
+    def tick(self, now: float, emit: Emit) -> None:
+        """Write outcomes that are due and end what takes too long."""
+        for request_id, reading in list(self._readings.items()):
+            if now > reading.until + TABLE_WAIT_S:
+                del self._readings[request_id]
+        writes = sum(claim.pending for claim in self._claims.values())
+        for claim in [claim for claim in self._claims.values() if now >= claim.until]:
+            if claim.phase in ("inserting", "checking"):
+                self._settle(claim, {"state": "not_run"}, now, emit)
+            elif claim.phase == "running":
+                self._settle(claim, {"state": "unknown"}, now, emit)
+            elif claim.phase == "writing" and not claim.pending and writes < MAX_WRITES:
+                writes += 1
+                self._write(claim, emit)
+
+    def dump(self, now: float) -> dict[str, object]:
+        """Return the claims that are held or wait to be written; answers are left out."""
+        return {
+            "lookups": len(self._readings),
+            "claims": [
+                {
+                    "op_id": claim.op_id,
+                    "row": claim.row_key,
+                    "phase": claim.phase,
+                    "outcome": (claim.outcome or {}).get("state"),
+                }
+                for claim in self._claims.values()
+            ],
+        }
+
+    # ---- answers of the table service -----------------------------------------------------------
+
+    def on_table(self, event: TableAnswered, now: float, emit: Emit) -> None:
+        """Take the answer to a lookup, an insert, a check or a background write."""
+        verb, _, name = event.op_id.partition("|")
+        if verb == "lookup":
+            if name in self._readings:
+                self._readings[name] = self._readings[name]._replace(answer=event)
+                self._ready.append(name)
+            return
+        claim = self._claims.get(name)
+        if claim is None:
+            return
+        match verb:
+            case "claim":
+                self._inserted(claim, event, now, emit)
+            case "check" if claim.phase == "checking":
+                self._checked(claim, event, now, emit)
+            case "settle":
+                self._written(claim._replace(pending=False), event, now, emit)
+            case "reread":
+                self._reread(claim._replace(pending=False), event, now, emit)
+        self._ready.append(claim.request_id)
+
+    def _insert(self, claim: Claim, emit: Emit) -> None:
+        self._put(claim._replace(phase="inserting"))
+        conditions = ((claim.row_key, claim.condition), (EPOCH_KEY, claim.epoch.revision))
+        emit(
+            Transact(f"claim|{claim.op_id}", conditions, self._puts(claim, {"state": "sent"}, True))
+        )
+
+    def _inserted(self, claim: Claim, event: TableAnswered, now: float, emit: Emit) -> None:
+        row = event.rows.get(claim.row_key)
+        if event.status != "unknown" and row is not None and self._is_own(row, claim):
+            claim = claim._replace(revision=row.revision)
+            # An insert confirmed after its deadline is settled, never used.
+            self._put(claim._replace(phase="held") if claim.phase == "inserting" else claim)
+        elif claim.phase == "writing":
+            if event.status in ("conflict", "down"):
+                self._drop(claim)  # nothing was written, so there is nothing to settle
+        elif event.status == "conflict":
+            self._conflict(claim, event, emit)
+        elif event.status == "down":
+            self._end(claim, Refusal(Code.TABLE_DOWN, retry_after_s=DOWN_RETRY_S))
+        else:
+            self._put(claim._replace(phase="checking"))
+            emit(ReadRows(f"check|{claim.op_id}", (claim.row_key,)))
+
+    def _conflict(self, claim: Claim, event: TableAnswered, emit: Emit) -> None:
+        """Insert once more where the conflict allows it; the answer proves nothing was written."""
+        row, epoch = event.rows.get(claim.row_key), event.rows.get(EPOCH_KEY)
+        condition: Stop | int = claim.condition
+        if row is not None:
+            condition = self.judge(row, claim.fingerprint)
+        elif epoch is None:
+            condition = 0  # the row has been cleaned meanwhile
+        if not isinstance(condition, int):
+            self._end(claim, condition)
+        elif claim.inserts >= MAX_INSERTS:
+            self._end(claim, Refusal(Code.CLAIM_UNKNOWN, retry_after_s=BUSY_RETRY_S))
+        else:
+            found = read_epoch(epoch) if epoch is not None else claim.epoch
+            again = claim._replace(condition=condition, epoch=found, inserts=claim.inserts + 1)
+            self._insert(again, emit)
+
+    def _checked(self, claim: Claim, event: TableAnswered, now: float, emit: Emit) -> None:
+        row = event.rows.get(claim.row_key)
+        if event.status == "ok" and row is not None and self._is_own(row, claim):
+            self._put(claim._replace(phase="held", revision=row.revision))
+        elif event.status == "ok" and row is not None and row.revision != claim.condition:
+            # The revision has moved on, so a late insert of this claim cannot take effect.
+            stop = self.judge(row, claim.fingerprint)
+            unknown = Refusal(Code.CLAIM_UNKNOWN, retry_after_s=BUSY_RETRY_S)
+            self._end(claim, unknown if isinstance(stop, int) else stop)
+        else:
+            self._settle(claim, {"state": "not_run"}, now, emit)
+
+    # ---- outcome --------------------------------------------------------------------------------
+
+    def _settle(self, claim: Claim, outcome: dict[str, object], now: float, emit: Emit) -> None:
+        claim = claim._replace(phase="writing", outcome=outcome, until=now, settled=now)
+        self._put(claim)
+        if claim.revision:
+            self._write(claim, emit)
+
+    def _write(self, claim: Claim, emit: Emit) -> None:
+        """Write the outcome; an unconfirmed claim is read first."""
+        assert claim.outcome is not None
+        self._put(claim._replace(pending=True))
+        if not claim.revision:
+            emit(ReadRows(f"reread|{claim.op_id}", (claim.row_key,)))
+            return
+        puts = self._puts(claim, claim.outcome, False)
+        emit(Transact(f"settle|{claim.op_id}", ((claim.row_key, claim.revision),), puts))
+
+    def _reread(self, claim: Claim, event: TableAnswered, now: float, emit: Emit) -> None:
+        """Learn whether an unconfirmed insert took effect; if not, stop it from doing so late."""
+        row = event.rows.get(claim.row_key)
+        if event.status != "ok":
+            self._later(claim, now)
+        elif row is not None and self._is_own(row, claim):
+            self._write(claim._replace(revision=row.revision), emit)
+        elif (row.revision if row else 0) == claim.condition:
+            assert claim.outcome is not None
+            self._put(claim._replace(pending=True))
+            puts = self._puts(claim, claim.outcome, True)
+            condition = (claim.row_key, claim.condition)
+            emit(Transact(f"settle|{claim.op_id}", (condition,), puts))
+        else:
+            self._drop(claim)
+
+    def _written(self, claim: Claim, event: TableAnswered, now: float, emit: Emit) -> None:
+        assert claim.outcome is not None
+        state = str(claim.outcome["state"])
+        row = event.rows.get(claim.row_key)
+        own = row is not None and self._is_own(row, claim)
+        if event.status == "ok" or (own and row and row.value.get("state") == state):
+            emit(Count("claims_settled", (state,)))
+            self._drop(claim)
+        elif event.status != "conflict":
+            self._later(claim, now)
+        elif own and row:
+            self._write(claim._replace(revision=row.revision), emit)
+        elif claim.revision:
+            emit(StateChanged("claim_row_lost", {"row": claim.row_key, "outcome": state}))
+            self._drop(claim)
+        else:
+            self._later(claim, now)
+
+    def _later(self, claim: Claim, now: float) -> None:
+        backoff = min(2 * claim.backoff, LAST_BACKOFF_S)
+        self._put(claim._replace(until=now + claim.backoff, backoff=backoff))
+
+    # ---- records --------------------------------------------------------------------------------
+
+    def _is_own(self, row: Row, claim: Claim) -> bool:
+        return row.value.get("op_id") == claim.op_id
+
+    def _puts(
+        self, claim: Claim, state: dict[str, object], indexed: bool
+    ) -> tuple[tuple[str, dict[str, object]], ...]:
+        value: dict[str, object] = {
+            "node": self._node,
+            "op_id": claim.op_id,
+            "fingerprint": claim.fingerprint,
+            "epoch": claim.epoch.number,
+            **state,
+        }
+        index: tuple[str, dict[str, object]] = (
+            index_key(claim.epoch.number, claim.op_id),
+            {"key": claim.row_key},
+        )
+        return ((claim.row_key, value), index) if indexed else ((claim.row_key, value),)
+
+    def _put(self, claim: Claim) -> None:
+        self._claims[claim.op_id] = claim
+
+    def _end(self, claim: Claim, stop: Stop) -> None:
+        self._stops[claim.request_id] = stop
+        self._drop(claim)
+
+    def _drop(self, claim: Claim) -> None:
+        del self._claims[claim.op_id]
+        for table, key in ((self._by_request, claim.request_id), (self._by_row, claim.row_key)):
+            if table.get(key) == claim.op_id:
+                del table[key]
--- a/src/lovageway/daemon.py
+++ b/src/lovageway/daemon.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from functools import singledispatchmethod
+from typing import Literal
 
 import structlog
 
@@ -37,6 +38,7 @@
     StateChanged,
     Stopped,
     StopRequested,
+    TableAnswered,
     Tick,
     Transact,
     VmListRead,
@@ -51,6 +53,7 @@
 TICK_S = 0.05
 IO_THREADS = 8
 LOAD_THREADS = 16  # a daemon owns about 13 servers at the target size
+TABLE_THREADS = 32
 
 log = structlog.get_logger()
 
@@ -75,6 +78,9 @@
         # Threads of their own, so that silent servers delay no other server's report for long.
         self._load_pool = ThreadPoolExecutor(LOAD_THREADS, thread_name_prefix="load")
         self._loads: set[str] = set()
+        # Threads of its own, so that a slow table service delays no load report.
+        self._table_pool = ThreadPoolExecutor(TABLE_THREADS, thread_name_prefix="table")
+        self._table_slots = threading.BoundedSemaphore(TABLE_THREADS)
 
     def run(self) -> None:
         """Serve until a planned stop is complete."""
@@ -99,6 +105,7 @@
         await self._peers.close()
         self._pool.shutdown(wait=False, cancel_futures=True)
         self._load_pool.shutdown(wait=False, cancel_futures=True)
+        self._table_pool.shutdown(wait=False, cancel_futures=True)
 
     def _listen(self, start_id: str) -> None:
         """Bind the listeners, build the node and print the addresses as one line of JSON."""
@@ -159,6 +166,29 @@
 
         self._pool.submit(run)
 
+    def _ask_table(
+        self, op_id: str, on_error: Literal["down", "unknown"], call: Callable[[], TableAnswered]
+    ) -> None:
+        """Call the table service; nothing queues behind a slow one, and an answer always comes."""
+
+        def run() -> None:
+            answer = TableAnswered(op_id, on_error, {})
+            try:
+                answer = call()
+            except Exception:
+                log.exception("table_call_failed")
+            finally:
+                self._table_slots.release()
+            self._runtime.submit(answer)
+
+        if self._table_slots.acquire(blocking=False):
+            self._table_pool.submit(run)
+        else:
+            # An effect is performed under the runtime's lock, so the answer goes through the loop.
+            self._metrics.add(Count("table_shed"))
+            shed = TableAnswered(op_id, "down", {})
+            self._loop.call_soon_threadsafe(self._runtime.submit, shed)
+
     @singledispatchmethod
     def _perform(self, effect: Effect) -> None:
         raise TypeError(f"no handler for {type(effect).__name__}")
@@ -177,11 +207,11 @@
 
     @_perform.register
     def _(self, effect: ReadRows) -> None:
-        self._background(lambda: self._runtime.submit(self._table.read(effect)))
+        self._ask_table(effect.op_id, "down", lambda: self._table.read(effect))
 
     @_perform.register
     def _(self, effect: Transact) -> None:
-        self._background(lambda: self._runtime.submit(self._table.transact(effect)))
+        self._ask_table(effect.op_id, "unknown", lambda: self._table.transact(effect))
 
     @_perform.register
     def _(self, effect: ReadVmList) -> None:
--- a/src/lovageway/exchange.py
+++ b/src/lovageway/exchange.py
@@ -144,7 +144,7 @@
     @_perform.register
     def _(self, effect: Replay) -> Iterator[Part]:
         self._open = False
-        yield Answer(effect.answer.encode())
+        yield Answer(effect.answer.encode(errors="surrogateescape"))
 
     @_perform.register
     def _(self, effect: Finish) -> Iterator[Part]:
@@ -193,7 +193,7 @@
             effect.timeout_s,
         )
         self._runtime.submit(AttemptStarted(effect.request_id, effect.attempt, answer.start_id))
-        text = answer.body.decode(errors="replace")
+        text = answer.body.decode(errors="surrogateescape")
         self._runtime.submit(AttemptFinished(effect.request_id, effect.attempt, 0, text))
         yield Answer(answer.body)
 
@@ -273,7 +273,13 @@
                 yield Idle()
 
     def _reconnect(self, generation: _Generation, position: int) -> TokenStream:
-        stream = self._engines.resume(generation.address, generation.name, position)
+        try:
+            stream = self._engines.resume(generation.address, generation.name, position)
+        except EngineError as exc:
+            if exc.failure not in ("connect", "refused"):
+                raise
+            # The generation was sent before; a refused resume does not prove that it did not run.
+            raise EngineError("lost", str(exc), exc.start_id) from exc
         if generation.start_id and stream.start_id != generation.start_id:
             stream.close()
             raise EngineError("gone", "the engine has started anew", stream.start_id)
--- /dev/null
+++ b/src/lovageway/filters/idempotency.py
@@ -0,0 +1,96 @@
+"""Looks up calls that are not idempotent before they take capacity, and claims them."""
+
+import re
+
+from expression import Ok
+
+from lovageway.chain import Context, Filter, Verdict, Wait, stop
+from lovageway.claimrows import EPOCH_KEY, read_epoch, row_key
+from lovageway.codes import Code, Refusal
+from lovageway.controllers.claims import DOWN_RETRY_S, TABLE_WAIT_S, Claims
+from lovageway.events import Emit
+
+_KEY = re.compile(r"[!-~]{1,128}")
+_DOWN = Refusal(Code.TABLE_DOWN, retry_after_s=DOWN_RETRY_S)
+_UNCONFIRMED = Refusal(Code.CLAIM_UNKNOWN, retry_after_s=DOWN_RETRY_S)
+
+
+class Lookup(Filter):
+    """Replays a stored answer and stops a resend whose first call is not settled."""
+
+    def __init__(self, claims: Claims) -> None:
+        self._claims = claims
+
+    def admit(self, ctx: Context, now: float, emit: Emit) -> Verdict:
+        """Let a call pass that is idempotent, or whose row is absent or "not_run"."""
+        if not needs_claim(ctx):
+            return Ok(ctx)
+        if ctx.req.idempotency_key is None:
+            return stop(Refusal(Code.IDEMPOTENCY_KEY_MISSING))
+        if not _KEY.fullmatch(ctx.req.idempotency_key):
+            detail = "Idempotency-Key needs 1 to 128 printable ASCII characters without spaces."
+            return stop(Refusal(Code.MALFORMED, detail))
+        key = _row_key(ctx)
+        known = self._claims.local(key, ctx.req.fingerprint)
+        if known is not None:
+            self._claims.end_lookup(ctx.req.request_id)
+            return stop(known)
+        reading = self._claims.look_up(ctx.req.request_id, key, now, emit)
+        if reading.answer is None and now < reading.until:
+            return stop(Wait(_DOWN, reading.until))
+        self._claims.end_lookup(ctx.req.request_id)
+        if reading.answer is None or reading.answer.status != "ok":
+            return stop(_DOWN)
+        rows = reading.answer.rows
+        found = self._claims.judge(rows.get(key), ctx.req.fingerprint)
+        if not isinstance(found, int):
+            return stop(found)
+        epoch = read_epoch(rows.get(EPOCH_KEY))
+        return Ok(ctx._replace(claim_revision=found, claim_epoch=epoch, lookup_done=True))
+
+    def abandon(self, ctx: Context, now: float, emit: Emit) -> None:
+        """Forget a lookup whose request has ended."""
+        self._claims.end_lookup(ctx.req.request_id)
+
+    def release(self, ctx: Context, now: float, emit: Emit) -> None:
+        """Settle the claim; this filter is released only when the request ends."""
+        self._claims.closed(ctx.req.request_id, now, emit)
+
+
+class Claim(Filter):
+    """Lets a call pass only under a claim whose row is confirmed."""
+
+    def __init__(self, claims: Claims) -> None:
+        self._claims = claims
+
+    def admit(self, ctx: Context, now: float, emit: Emit) -> Verdict:
+        """Insert the claim, wait for it to be confirmed, then let the call be sent."""
+        if not needs_claim(ctx):
+            return Ok(ctx)
+        ended = self._claims.take_stop(ctx.req.request_id)
+        if ended is not None:
+            return stop(ended)
+        claim = self._claims.of_request(ctx.req.request_id)
+        if claim is None:
+            key = _row_key(ctx)
+            refusal = self._claims.local(key, ctx.req.fingerprint)
+            refusal = refusal or self._claims.insert(ctx, key, now, emit)
+            return stop(refusal or Wait(_UNCONFIRMED, now + TABLE_WAIT_S))
+        if claim.phase == "held":
+            self._claims.running(ctx.req.request_id, now)
+            return Ok(ctx)
+        if claim.phase == "writing" or now >= claim.until:
+            return stop(_UNCONFIRMED)
+        return stop(Wait(_UNCONFIRMED, claim.until))
+
+
+def needs_claim(ctx: Context) -> bool:
+    """Tell whether running the request twice would do harm."""
+    assert ctx.service is not None
+    return ctx.service.kind != "engine" and ctx.req.method not in ctx.service.idempotent_methods
+
+
+def _row_key(ctx: Context) -> str:
+    assert ctx.contract is not None
+    assert ctx.req.idempotency_key is not None
+    return row_key(ctx.contract.account, ctx.req.idempotency_key)
--- /dev/null
+++ b/src/lovageway/filters/poison.py
@@ -0,0 +1,93 @@
+"""Runs a request that was at a server's death alone, and refuses one that was at two."""
+
+from typing import NamedTuple
+
+from expression import Ok
+
+from lovageway.chain import Context, Filter, Verdict, Wait, stop
+from lovageway.codes import Code, Ran, Refusal
+from lovageway.controllers.backends import Backends, ServerView
+from lovageway.controllers.membership import Membership
+from lovageway.controllers.poison import Poison, fingerprint
+from lovageway.events import Emit
+from lovageway.filters.idempotency import needs_claim
+from lovageway.filters.routing import Routing
+
+MAX_MARKS = 2
+CHECK_RETRY_S = 4.0  # by then a suspected death is decided
+NO_SERVER_RETRY_S = 2.0
+# A marked request that has run this long with output no longer keeps others off its server;
+# otherwise the long generations of one dead server would queue for hours.
+PROBATION_S = 10.0
+
+
+class _Alone(NamedTuple):
+    request_id: str
+    fingerprint: str
+    since: float
+
+
+class Quarantine(Filter):
+    """Keeps marked requests apart; placed right before Routing, so that a retry passes it again.
+
+    A marked request may share its server with unmarked ones: a server for each of the dozens that
+    one death marks would cost more than the second mark that it could spare them.
+    """
+
+    def __init__(
+        self, poison: Poison, backends: Backends, routing: Routing, membership: Membership
+    ) -> None:
+        self._poison = poison
+        self._backends = backends
+        self._routing = routing
+        self._membership = membership
+        self._alone: dict[str, _Alone] = {}
+
+    def admit(self, ctx: Context, now: float, emit: Emit) -> Verdict:
+        """Let unmarked requests pass, choose the server of marked ones, refuse poison."""
+        name = fingerprint(ctx)
+        dead, suspect = self._poison.marks(name, now)
+        if dead >= MAX_MARKS:
+            # A call under a key of its own has not run, whatever an equal body did before.
+            return stop(Refusal(Code.POISON, ran="no" if needs_claim(ctx) else "yes"))
+        if dead + suspect >= MAX_MARKS:
+            detail = "Two servers were lost while they ran this request and are being checked."
+            ran: Ran = "no" if needs_claim(ctx) else "unknown"
+            return stop(Refusal(Code.ATTEMPT_FAILED, detail, CHECK_RETRY_S, ran))
+        if not dead + suspect:
+            return Ok(ctx._replace(only=""))
+        free = self._free(ctx._replace(only=""), now)
+        if not free or any(item.fingerprint == name for item in self._alone.values()):
+            assert ctx.contract is not None
+            refusal = Refusal(Code.NO_SERVER, "A marked request runs alone.", NO_SERVER_RETRY_S)
+            return stop(Wait(refusal, ctx.arrived + ctx.contract.max_wait_s))
+        chosen = min(free, key=lambda view: (view.in_flight, view.vm.vm_id)).vm.vm_id
+        self._alone[chosen] = _Alone(ctx.req.request_id, name, now)
+        return Ok(ctx._replace(only=chosen))
+
+    def delivered(self, ctx: Context, count: int, now: float, emit: Emit) -> None:
+        """End the probation of a request that has run for a while."""
+        found = self._alone.get(ctx.server_id)
+        if found and found.request_id == ctx.req.request_id and now >= found.since + PROBATION_S:
+            del self._alone[ctx.server_id]
+
+    def release(self, ctx: Context, now: float, emit: Emit) -> None:
+        """Free the server for the next marked request."""
+        for server, item in list(self._alone.items()):
+            if item.request_id == ctx.req.request_id:
+                del self._alone[server]
+
+    def _free(self, ctx: Context, now: float) -> list[ServerView]:
+        """Return the servers on which no other marked request of any daemon runs.
+
+        Each server has one owner among the daemons, so two daemons choose different servers. A
+        daemon that owns none of those in use may choose any.
+        """
+        me, known = self._membership.node, self._backends.credits(ctx.req.service, now)
+        left = {view.vm.vm_id for view in known} - set(ctx.tried)
+        own = {server for server in left if self._membership.owner(f"alone|{server}") == me}
+        allowed = (own or left) - self._alone.keys()
+        views = self._routing.options(ctx, ctx.memory, now)
+        if not views:
+            self._routing.want(ctx, ctx.memory, now)
+        return [view for view in views if view.vm.vm_id in allowed]
--- a/src/lovageway/filters/routing.py
+++ b/src/lovageway/filters/routing.py
@@ -100,6 +100,7 @@
             view
             for view in self._backends.credits(ctx.req.service, now)
             if view.vm.vm_id not in ctx.tried
+            and ctx.only in ("", view.vm.vm_id)
             and fits(view, memory, batch, self._own.get(view.vm.vm_id, _NOTHING))
         ]
 
--- a/src/lovageway/messages.py
+++ b/src/lovageway/messages.py
@@ -4,7 +4,7 @@
 `decode` checks every field against its type, so a malformed message never reaches a controller.
 """
 
-from typing import NamedTuple
+from typing import Literal, NamedTuple
 
 import msgpack  # type: ignore[import-untyped]
 import msgspec
@@ -133,11 +133,25 @@
 
 
 class PoisonMark(NamedTuple):
-    """A server died while it ran the request with this fingerprint."""
+    """A server died, or may have died, while it ran the request with this fingerprint."""
 
     fingerprint: str
     server_id: str
     start_id: str  # of the run that died
+    state: Literal["suspect", "dead", "alive"] = "dead"  # "alive" withdraws the mark
+
+
+class ServerProbe(NamedTuple):
+    """Asks a peer to read a backend server's load report."""
+
+    server_id: str
+
+
+class ServerSeen(NamedTuple):
+    """Answers ServerProbe: the server has just shown this start identity."""
+
+    server_id: str
+    start_id: str
 
 
 class StreamResumed(NamedTuple):
@@ -194,6 +208,8 @@
     | StreamResumed
     | HandoverRequest
     | Handover
+    | ServerProbe
+    | ServerSeen
 )
 
 KINDS: tuple[type[Message], ...] = (
@@ -211,6 +227,8 @@
     StreamResumed,
     HandoverRequest,
     Handover,
+    ServerProbe,
+    ServerSeen,
 )
 _NUMBERS = {kind: number for number, kind in enumerate(KINDS)}
 
--- a/src/lovageway/node.py
+++ b/src/lovageway/node.py
@@ -9,10 +9,14 @@
 from lovageway.codes import Code, Refusal
 from lovageway.controllers.backends import Backends
 from lovageway.controllers.base import Controller
+from lovageway.controllers.budgets import Budgets
+from lovageway.controllers.claims import Claims
+from lovageway.controllers.cleaning import Cleaning
 from lovageway.controllers.configuration import Configuration
 from lovageway.controllers.lengths import Lengths
 from lovageway.controllers.membership import Membership
 from lovageway.controllers.orders import Orders
+from lovageway.controllers.poison import Poison
 from lovageway.controllers.shares import Shares
 from lovageway.controllers.streams import Streams
 from lovageway.events import (
@@ -40,7 +44,9 @@
 from lovageway.filters.admission import Admission
 from lovageway.filters.attempt import Attempt
 from lovageway.filters.authenticate import Authenticate
+from lovageway.filters.idempotency import Claim, Lookup
 from lovageway.filters.limits import AccountLimits, Limits
+from lovageway.filters.poison import Quarantine
 from lovageway.filters.readiness import Readiness
 from lovageway.filters.resumption import Resumption
 from lovageway.filters.routing import Routing
@@ -83,12 +89,21 @@
         self.shares.register("account", AccountLimits(self.configuration))
         self.shares.register("server", self.backends)
         self.lengths = Lengths()
+        self.claims = Claims(
+            self.membership.node, lambda: {member.node for member in self.membership.live()}
+        )
+        self.budgets = Budgets()
+        self.poison = Poison(self.membership, rng)
         self._controllers: dict[str, Controller] = {
             "membership": self.membership,
             "configuration": self.configuration,
             "backends": self.backends,
             "shares": self.shares,
             "lengths": self.lengths,
+            "claims": self.claims,
+            "cleaning": Cleaning(self.membership, rng),
+            "budgets": self.budgets,
+            "poison": self.poison,
         }
         self.streams = Streams(self.membership)
         self._controllers["streams"] = self.streams
@@ -99,7 +114,7 @@
             options.weight_loads_per_s,
         )
         self._controllers["orders"] = self.orders
-        self._attempt = Attempt()
+        self._attempt = Attempt(self.budgets)
         self.authenticate = Authenticate(self.configuration)
         readiness = Readiness(self.configuration)
         self._resumes = Chain(
@@ -114,8 +129,11 @@
                 readiness,
                 self.authenticate,
                 Limits(self.shares),
+                Lookup(self.claims),
                 Admission(self.backends, self.lengths, routing, chosen.uses_memory),
+                Quarantine(self.poison, self.backends, routing, self.membership),
                 routing,
+                Claim(self.claims),
                 self._attempt,
             ]
         )
@@ -166,7 +184,7 @@
             item.tick(now, self._emit)
         self.chain.poll(now, self._emit)
         self._release_ended(now)
-        self._finish_stop()
+        self._finish_stop(now)
 
     @_on.register
     def _(self, event: RequestArrived, now: float) -> None:
@@ -192,16 +210,21 @@
             code = Code.GENERATION_LOST if event.failure == "gone" else Code.STREAM_LOST
             self._resumes.refuse(event.request_id, Refusal(code), now, self._emit)
         ctx = self.chain.get(event.request_id)
-        if ctx is None or ctx.attempt != event.attempt:
+        if ctx is not None and ctx.attempt != event.attempt:
             return
         self._emit(Count("attempts_failed", (event.failure,)))
+        # The call of a caller that has gone is settled as well.
+        self.claims.failed(event.request_id, event.failure, now, self._emit)
+        if ctx is None:
+            return
         self.backends.attempt_failed(ctx.server_id, event, now, self._emit)
+        self.poison.failed(ctx, event, now, self._emit)
         outcome = self._attempt.failed(ctx, event)
         if outcome.is_ok():
             if ctx.service is not None and ctx.service.kind == "engine":
                 name = generation_name(ctx.req.request_id, ctx.attempt)
                 self._emit(CancelGeneration(ctx.server_id, ctx.address, name))
-            self.chain.retry(outcome.ok, Routing, now, self._emit)
+            self.chain.retry(outcome.ok, Quarantine, now, self._emit)
         else:
             refusal: Refusal = outcome.error
             self.chain.refuse(event.request_id, refusal, now, self._emit)
@@ -209,8 +232,12 @@
     @_on.register
     def _(self, event: AttemptFinished, now: float) -> None:
         self._resumes.finish(event.request_id, now, self._emit)
+        self.claims.finished(event.request_id, event.answer, now, self._emit)
         ctx = self.chain.get(event.request_id)
         if ctx is not None and ctx.attempt == event.attempt:
+            assert ctx.contract is not None
+            self.budgets.earn(ctx.contract.account, ctx.req.service)
+            self.poison.finished(ctx, now, self._emit)
             self.chain.replace(ctx._replace(finished=True))
             self.chain.finish(event.request_id, now, self._emit)
             self.chain.poll(now, self._emit)
@@ -242,11 +269,15 @@
     @_on.register
     def _(self, event: LoadRead, now: float) -> None:
         self.backends.on_load(event.server_id, event.report, now)
+        start_id = event.report.start_id if event.report else None
+        self.poison.on_load(event.server_id, start_id, now, self._emit)
 
     @_on.register
     def _(self, event: TableAnswered, now: float) -> None:
         for item in self._controllers.values():
             item.on_table(event, now, self._emit)
+        for request_id in self.claims.take_ready():
+            self.chain.wake(request_id, now, self._emit)
 
     @_on.register
     def _(self, event: OrderAnswered, now: float) -> None:
@@ -257,8 +288,9 @@
         self._emit(Count("stops"))
         self._stopping = True
         self.orders.resign(now, self._emit)
-        self._finish_stop()
+        self._finish_stop(now)
 
-    def _finish_stop(self) -> None:
-        if self._stopping and not len(self.chain) and not len(self._resumes):
+    def _finish_stop(self, now: float) -> None:
+        busy = len(self.chain) or len(self._resumes) or self.claims.busy(now)
+        if self._stopping and not busy:
             self._emit(Stopped())
