--- a/src/lovageway/controllers/poison.py
+++ b/src/lovageway/controllers/poison.py
@@ -26,8 +26,8 @@
 STALE_REPORT_S = 1.0
 WITHDRAW_S = 60.0  # how long an unreachable server is still probed
 PROBED_PEERS = 2
-REPEATS = 2  # of each mark, for peers that lost a message
-REPEAT_S = 1.0
+REPEATS_S = (1.0, 3.0, 7.0)  # each mark is sent again then, for peers that lost a message
+SWEEP_S = 0.5
 MAX_FINGERPRINTS = 4096  # about 2 MB
 MAX_SUSPECTS = 1024  # runs of servers
 MAX_REPEATS = 1024
@@ -128,7 +128,7 @@
             self._check(run, suspect, now, emit)
         if now < self._next_sweep:
             return
-        self._next_sweep = now + REPEAT_S / 2
+        self._next_sweep = now + SWEEP_S
         due = [msg for at, msg in self._repeats if at <= now]
         self._repeats = [item for item in self._repeats if item[0] > now]
         for msg in due:
@@ -247,7 +247,7 @@
     def _tell(self, msg: PoisonMark, now: float, emit: Emit) -> None:
         # A later word on the same run replaces the one that still waits to be repeated.
         self._repeats = [item for item in self._repeats if item[1][:3] != msg[:3]]
-        self._repeats += [(now + number * REPEAT_S, msg) for number in range(1, REPEATS + 1)]
+        self._repeats += [(now + delay, msg) for delay in REPEATS_S]
         del self._repeats[:-MAX_REPEATS]
         self._broadcast(msg, emit)
 
--- a/src/lovageway/filters/idempotency.py
+++ b/src/lovageway/filters/idempotency.py
@@ -79,7 +79,7 @@
         if claim.phase == "held":
             self._claims.running(ctx.req.request_id, now)
             return Ok(ctx)
-        if claim.phase == "writing" or now >= claim.until:
+        if claim.phase == "writing":
             return stop(_UNCONFIRMED)
         return stop(Wait(_UNCONFIRMED, claim.until))
 
--- /dev/null
+++ b/tests/test_attempt.py
@@ -0,0 +1,72 @@
+"""What a failed attempt means for its request."""
+
+import unittest
+
+from lovageway.chain import Context, truthful
+from lovageway.codes import Code, Refusal
+from lovageway.controllers.budgets import Budgets
+from lovageway.events import AttemptFailed, Request
+from lovageway.filters.attempt import Attempt, as_seen
+from lovageway.model import Contract, Service
+
+CONTRACT = Contract("clerks", (), (), 1.0, 1, 1.0)
+PLAIN = Service("counter-app", "plain", ("refund", "history"), ("history",))
+ENGINE = Service("crock-llm", "engine")
+
+
+def context(service, method, **changes):
+    req = Request("r", "", service.name, method, "f", 0, 0)
+    ctx = Context(req, 0.0, CONTRACT, service, server_id="server-0", start_id="s")
+    return ctx._replace(**changes)
+
+
+def failed(failure, delivered=0, attempt=0):
+    return AttemptFailed("r", attempt, failure, delivered)
+
+
+class FailedAttempt(unittest.TestCase):
+    def setUp(self):
+        self.budgets = Budgets()
+        self.attempt = Attempt(self.budgets)
+
+    def refusal(self, ctx, event):
+        found = self.attempt.failed(ctx, event).error
+        return found.code, found.effect
+
+    def test_a_lost_call_that_is_not_idempotent_is_never_sent_again(self):
+        # Guards against a second refund when the answer is lost.
+        ctx = context(PLAIN, "refund")
+        for failure in ("lost", "gone", "stalled", "error"):
+            expected = (Code.OUTCOME_UNKNOWN_NOW, "unknown")
+            self.assertEqual(self.refusal(ctx, failed(failure)), expected)
+
+    def test_tokens_of_a_second_generation_never_follow_those_of_a_first(self):
+        # Guards against a retry after delivery began.
+        ctx = context(ENGINE, "completions")
+        self.assertEqual(self.refusal(ctx, failed("gone", 3)), (Code.GENERATION_LOST, "yes"))
+        self.assertEqual(self.refusal(ctx, failed("lost", 3)), (Code.STREAM_LOST, "yes"))
+
+    def test_a_retry_passes_over_the_failed_server_and_costs_one_from_the_budget(self):
+        # Guards against retries without limit, and against the same dead server.
+        ctx = self.attempt.failed(context(ENGINE, "completions"), failed("lost")).ok
+        self.assertEqual((ctx.attempt, ctx.tried), (1, ("server-0",)))
+        self.assertEqual(self.refusal(ctx, failed("lost", 0, 1)), (Code.RETRY_BUDGET, "unknown"))
+
+    def test_a_third_attempt_is_the_last_even_with_budget_left(self):
+        # Guards against one request that uses up a budget.
+        for _ in range(100):
+            self.budgets.earn("clerks", "crock-llm")
+        ctx = context(ENGINE, "completions", attempt=2)
+        self.assertEqual(self.refusal(ctx, failed("connect")), (Code.ATTEMPT_FAILED, "no"))
+
+    def test_not_run_is_not_said_after_an_earlier_attempt_that_may_have_run(self):
+        # Guards against judging a request by its last attempt alone, in any filter.
+        ctx = context(ENGINE, "completions", attempt=2, maybe_ran=True)
+        self.assertEqual(self.refusal(ctx, failed("connect")), (Code.ATTEMPT_FAILED, "unknown"))
+        self.assertEqual(truthful(ctx, Refusal(Code.NO_SERVER)).effect, "unknown")
+
+    def test_a_connection_refused_to_a_resume_does_not_prove_that_nothing_ran(self):
+        # Guards against "not run" when an engine dies in an attempt that it had accepted.
+        ctx = context(ENGINE, "completions", started=0)
+        self.assertEqual(as_seen(ctx, failed("connect")).failure, "lost")
+        self.assertEqual(as_seen(ctx._replace(started=-1), failed("connect")).failure, "connect")
