--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -88,6 +88,8 @@
         self.fencing = 0
         self.state = "ready"
         self.reports = deque([(0.0, self.report())])
+        self.refuse = False  # answer 503 to new generations, though the load report says "ready"
+        self.starts = 0
         threading.Thread(target=self.decode, daemon=True).start()
 
     def bears(self):
@@ -186,8 +188,10 @@
             case "GET", ["stats"]:
                 return Reply(200, self.stats(), headers)
             case "POST", ["control"]:
-                self.state = json.loads(data).get("state", self.state)
-                return Reply(200, {"orders": self.orders}, headers)
+                wanted = json.loads(data)
+                self.state = wanted.get("state", self.state)
+                self.refuse = wanted.get("refuse", self.refuse)
+                return Reply(200, {"orders": self.orders, "starts": self.starts}, headers)
             case "POST", ["orders"]:
                 return self.order(json.loads(data), headers)
             case "POST", ["v1", "completions"]:
@@ -246,6 +250,9 @@
 
     def start(self, name, body, headers):
         with self.cond:
+            self.starts += 1
+            if self.refuse:
+                return Reply(503, {"error": "overloaded"}, headers)
             if name in self.sequences:
                 return Reply(409, {"error": "generation exists"}, headers)
             if len(self.running) + len(self.waiting) + 1 > self.bears() + self.args.slots * (
--- a/tests/standins/plain.py
+++ b/tests/standins/plain.py
@@ -43,7 +43,9 @@
         request_id = environ.get("HTTP_X_REQUEST_ID", "")
         with self.lock:
             self.running += 1
-            self.ledger.append({"method": name, "body": body, "request_id": request_id})
+            key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
+            effect = {"method": name, "body": body, "request_id": request_id, "key": key}
+            self.ledger.append(effect)
             number = len(self.ledger)
         time.sleep(self.delay_s)
         with self.lock:
--- /dev/null
+++ b/tests/test_at_most_once.py
@@ -0,0 +1,217 @@
+"""Refunds run at most once between real processes, whatever is killed, stopped, lost or down."""
+
+import json
+import signal
+import socket
+import threading
+import time
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+
+from lovageway.codes import Code
+from tests.builders import jar_returns_rows
+from tests.fleet import Fleet, http, post, wait_for
+from tests.proxy import Proxy
+
+PATH = "/v1/services/counter-app/refund"
+
+
+def call(daemon, key, method="refund", **body):
+    """Send a call and return the status and the JSON of the answer."""
+    headers = {"Authorization": "Bearer clerks-key"}
+    if key is not None:
+        headers["Idempotency-Key"] = key
+    url = f"http://{daemon.address}/v1/services/counter-app/{method}"
+    resp = http.request("POST", url, json={"jar": 1, **body}, headers=headers)
+    return resp.status, json.loads(resp.data)
+
+
+def code(answer):
+    return answer[1]["error"]["code"] if "error" in answer[1] else None
+
+
+class AtMostOnce(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.fleet = cls.enterClassContext(Fleet())
+        cls.plain = cls.fleet.backend("counter-0", "counter-app", "gobi", "plain")
+        cls.proxy = cls.enterClassContext(Proxy(cls.plain.address))
+        cls.fleet.vms["counter-0"]["address"] = cls.proxy.address
+        cls.one = cls.fleet.daemon("entry-0", "gobi")
+        cls.two = cls.fleet.daemon("entry-1", "gobi")
+        cls.fleet.write_configuration(jar_returns_rows())
+        cls.fleet.publish_vms()
+        cls.fleet.wait_ready()
+        cls.see_each_other()
+
+    def tearDown(self):
+        self.platform(table="up", lose=0)
+        self.proxy.set_mode("pass")
+        post(self.plain.address, "/control", {"delay_s": 0})
+
+    @classmethod
+    def see_each_other(cls):
+        def all_seen():
+            live = cls.fleet.admin(cls.two, "/admin/dump")["membership"]["live"]
+            seen = {member["node"].partition("/")[0] for member in live}
+            return seen >= {
+                name for name, item in cls.fleet.daemons.items() if item.popen.poll() is None
+            }
+
+        wait_for(all_seen, "every daemon seen by entry-1")
+
+    def platform(self, **wanted):
+        return post(self.fleet.platform.address, "/control", wanted)
+
+    def effects(self, key):
+        ledger = json.loads(http.request("GET", f"http://{self.plain.address}/ledger").data)
+        return [effect for effect in ledger["effects"] if effect["key"] == key]
+
+    def start(self, daemon, key):
+        """Begin a call that stays at the service for a while; returns its thread and answers."""
+        post(self.plain.address, "/control", {"delay_s": 3})
+        answers = []
+
+        def run():
+            try:
+                answers.append(call(daemon, key))
+            except Exception as exc:
+                answers.append(exc)
+
+        thread = threading.Thread(target=run)
+        thread.start()
+        wait_for(lambda: self.effects(key), "the call at the service")
+        post(self.plain.address, "/control", {"delay_s": 0})
+        return thread, answers
+
+    def row(self, key):
+        return self.platform()["rows"].get(f"claim/clerks/{key}", {})
+
+    def extra_daemon(self, name):
+        daemon = self.fleet.daemon(name, "gobi")
+        self.fleet.publish_vms()
+        self.fleet.wait_ready()
+        self.see_each_other()
+        return daemon
+
+    def test_an_answer_lost_on_the_claim_neither_stops_nor_repeats_the_call(self):
+        # Guards against a claim that is written but unknown to its daemon.
+        self.platform(lose=1)
+        first = call(self.one, "lost-claim")
+        self.assertEqual(first[0], 200)
+        self.assertEqual(self.platform()["lose"], 0)
+        wait_for(lambda: self.row("lost-claim").get("state") == "done", "the stored answer")
+        self.assertEqual(call(self.two, "lost-claim"), first)
+        self.assertEqual(len(self.effects("lost-claim")), 1)
+
+    def test_with_the_table_down_calls_are_refused_at_once_and_run_nothing(self):
+        # Guards against waiting for a table that is down, and against running without a claim.
+        self.platform(table="down")
+        status, answer = call(self.one, "down-before")
+        error = answer["error"]
+        self.assertEqual((status, error["code"], error["ran"]), (503, Code.TABLE_DOWN, "no"))
+        self.assertEqual((error["retry_after_s"], error["earlier_submissions"]), (5.0, "unknown"))
+        self.assertEqual(call(self.one, None, "history")[0], 200)
+        self.assertEqual(code(call(self.one, None)), Code.IDEMPOTENCY_KEY_MISSING)
+        self.assertEqual(self.effects("down-before"), [])
+        self.platform(table="up")
+        self.assertEqual(call(self.two, "down-before")[0], 200)
+        self.assertEqual(len(self.effects("down-before")), 1)
+
+    def test_a_slow_table_delays_no_caller_by_more_than_the_bounded_wait(self):
+        # Guards against a queue behind a slow table: 60 callers on 8 threads would take 15 s.
+        self.platform(table="slow")
+
+        def timed(number):
+            began = time.monotonic()
+            return code(call(self.one, f"slow-{number}")), time.monotonic() - began
+
+        with ThreadPoolExecutor(60) as pool:
+            results = list(pool.map(timed, range(60)))
+        self.assertEqual({result for result, _ in results}, {Code.TABLE_DOWN})
+        self.assertLess(max(seconds for _, seconds in results), 10.0)
+        self.assertEqual([self.effects(f"slow-{number}") for number in range(60)], [[]] * 60)
+
+    def test_a_table_that_goes_down_after_the_claim_costs_no_answer(self):
+        # Guards against a result that is lost because it could not be written at once.
+        thread, answers = self.start(self.one, "down-after")
+        self.platform(table="down")
+        thread.join()
+        self.assertEqual(answers[0][0], 200)
+        self.assertEqual(call(self.one, "down-after"), answers[0])
+        refused = call(self.two, "down-after")[1]["error"]
+        self.assertEqual((refused["code"], refused["earlier_submissions"]), (4104, "unknown"))
+        self.platform(table="up")
+        wait_for(lambda: call(self.two, "down-after") == answers[0], "the stored answer")
+        self.assertEqual(len(self.effects("down-after")), 1)
+
+    def test_a_daemon_killed_while_the_call_runs_leaves_an_unknown_outcome(self):
+        # Guards against a second run by a daemon that takes over, and a false "not run".
+        victim = self.extra_daemon("entry-2")
+        thread, _ = self.start(victim, "killed")
+        self.assertEqual(code(call(self.two, "killed")), Code.IN_PROGRESS)
+        victim.kill()
+        thread.join()
+        del self.fleet.daemons["entry-2"]
+        wait_for(lambda: code(call(self.two, "killed")) == Code.OUTCOME_UNKNOWN, "4502")
+        self.assertEqual(call(self.two, "killed")[1]["error"]["ran"], "unknown")
+        self.assertEqual(len(self.effects("killed")), 1)
+
+    def test_a_daemon_that_was_stopped_still_stores_its_answer(self):
+        # Guards against a second run while the holder is paused, and against a lost answer.
+        victim = self.extra_daemon("entry-3")
+        thread, answers = self.start(victim, "stopped")
+        victim.signal(signal.SIGSTOP)
+        wait_for(lambda: code(call(self.two, "stopped")) == Code.OUTCOME_UNKNOWN, "4502")
+        victim.signal(signal.SIGCONT)
+        thread.join()
+        self.assertEqual(answers[0][0], 200)
+        wait_for(lambda: call(self.two, "stopped") == answers[0], "the stored answer")
+        self.assertEqual(len(self.effects("stopped")), 1)
+        del self.fleet.daemons["entry-3"]
+        self.assertEqual(victim.stop(), 0)
+
+    def test_an_answer_of_the_service_that_is_lost_is_not_asked_for_again(self):
+        # Guards against a retry of a call that may have run.
+        self.proxy.set_mode("lose_answers")
+        status, answer = call(self.one, "lost-answer")
+        self.proxy.set_mode("pass")
+        error = answer["error"]
+        self.assertEqual((status, error["code"], error["ran"]), (502, 4504, "unknown"))
+        wait_for(lambda: self.row("lost-answer").get("state") == "unknown", "the row")
+        for daemon in (self.one, self.two):
+            self.assertEqual(code(call(daemon, "lost-answer")), Code.OUTCOME_UNKNOWN)
+        self.assertEqual(len(self.effects("lost-answer")), 1)
+
+    def test_a_caller_that_goes_while_the_call_runs_finds_the_answer_later(self):
+        # Guards against cutting a call whose caller has gone.
+        post(self.plain.address, "/control", {"delay_s": 1})
+        host, _, port = self.one.address.rpartition(":")
+        body = b'{"jar":1}'  # as `call` sends it: the fingerprint covers the bytes
+        head = (
+            f"POST {PATH} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer clerks-key\r\n"
+            f"Idempotency-Key: gone\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
+        with socket.create_connection((host, int(port))) as conn:
+            conn.sendall(head.encode() + body)
+            wait_for(lambda: self.effects("gone"), "the call at the service")
+        wait_for(lambda: call(self.two, "gone")[0] == 200, "the stored answer")
+        self.assertEqual(len(self.effects("gone")), 1)
+
+    def test_one_key_sent_through_two_daemons_at_once_runs_once(self):
+        # Guards against a race between two claims.
+        def both(number):
+            key = f"race-{number}"
+            return [pool.submit(call, daemon, key) for daemon in (self.one, self.two)]
+
+        with ThreadPoolExecutor(16) as pool:
+            pairs = [both(number) for number in range(30)]
+            answers = [[future.result() for future in pair] for pair in pairs]
+        for number, pair in enumerate(answers):
+            key = f"race-{number}"
+            self.assertLessEqual({code(item) for item in pair}, {None, Code.IN_PROGRESS})
+            self.assertEqual(len(self.effects(key)), 1)
+            wait_for(lambda key=key: call(self.one, key)[0] == 200, "the stored answer")
+            stored = call(self.one, key)
+            self.assertEqual([item for item in pair if item[0] == 200 and item != stored], [])
+        self.assertEqual(code(call(self.two, "race-0", jar=2)), Code.IDEMPOTENCY_KEY_REUSED)
