Say nothing of earlier submissions in refusals by the HTTP server itself

Cause: a body over the limit is refused by cheroot before the application sees the request, with "ran": "no" also for a key that had run.

--- a/src/lovageway/adapters/_http.py
+++ b/src/lovageway/adapters/_http.py
@@ -28,7 +28,10 @@
         self.close_connection = True
         code = _CODES.get(str(status)[:3], Code.MALFORMED)
         self.server.on_refusal(code)
-        body = json.dumps(Refusal(code, str(msg)[:200]).to_json())
+        refusal = Refusal(code, str(msg)[:200])
+        if b"Idempotency-Key" in self.inheaders:
+            refusal = refusal._replace(earlier="unknown")
+        body = json.dumps(refusal.to_json())
         head = (
             f"{self.server.protocol} {status}\r\nContent-Type: application/json\r\n"
             f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
--- a/src/lovageway/claimrows.py
+++ b/src/lovageway/claimrows.py
@@ -1,4 +1,4 @@
-"""Rows of the table service that record calls which must not run twice.
+"""Rows of the table service, and records of a daemon, for calls which must not run twice.
 
 States of the row ``claim/ACCOUNT/KEY``: "sent" (the holder may have sent the call), "done" (with
 the answer), "not_run" (proved; a resend may claim anew on that revision) and "unknown" (the answer
@@ -6,7 +6,7 @@
 """
 
 import hashlib
-from typing import NamedTuple
+from typing import Literal, NamedTuple
 from urllib.parse import quote
 
 from lovageway.chain import Answered
@@ -17,6 +17,8 @@
 EPOCH_KEY = "lease/claims"  # see controllers.cleaning
 SHARDS = 16  # of an epoch's index: one read returns at most 600 rows at 150 calls/s
 
+FIRST_BACKOFF_S = 0.5  # between writes of an outcome
+
 Stop = Refusal | Answered
 
 
@@ -27,6 +29,27 @@
     revision: int
 
 
+class Claim(NamedTuple):
+    """One claim of this daemon until its outcome is written."""
+
+    op_id: str
+    request_id: str
+    row_key: str
+    fingerprint: str
+    condition: int  # revision that the insert is conditioned on
+    epoch: Epoch
+    phase: Literal["inserting", "checking", "held", "running", "writing"]
+    until: float  # deadline of the insert, of the run, or time of the next write
+    run_s: float  # how long a run may last
+    revision: int = 0  # of this claim's row, 0: not confirmed
+    inserts: int = 1
+    detached: bool = False  # the request has ended while the call runs
+    outcome: dict[str, object] | None = None
+    settled: float = 0.0  # when the outcome was known
+    backoff: float = FIRST_BACKOFF_S
+    pending: bool = False  # a background operation waits for its answer
+
+
 def row_key(account: str, key: str) -> str:
     """Return the claim's row; both parts are escaped, so that no two pairs share a row."""
     return f"claim/{quote(account, safe='')}/{quote(key, safe='')}"
--- a/src/lovageway/controllers/claims.py
+++ b/src/lovageway/controllers/claims.py
@@ -5,11 +5,12 @@
 """
 
 from collections.abc import Callable
-from typing import Literal, NamedTuple
+from typing import NamedTuple
 
 from lovageway.chain import Context
 from lovageway.claimrows import (
     EPOCH_KEY,
+    Claim,
     Epoch,
     Stop,
     done,
@@ -36,7 +37,7 @@
 MAX_UNWRITTEN = 256  # no new claims beyond this, as results must not be dropped; 4 MB of answers
 MAX_WRITES = 8  # background writes of one daemon at the same time
 MAX_INSERTS = 5  # of one claim after conflicts in which nothing was written
-FIRST_BACKOFF_S, LAST_BACKOFF_S = 0.5, 5.0
+LAST_BACKOFF_S = 5.0
 STOP_WAIT_S = 5.0  # a planned stop waits no longer for a write; the row then stays "sent"
 RUN_MARGIN_S = 60.0  # past the service's timeout an attempt without outcome counts as lost
 NOT_RUN: tuple[Failure, ...] = ("refused", "connect")
@@ -49,27 +50,6 @@
     answer: TableAnswered | None
 
 
-class Claim(NamedTuple):
-    """One claim of this daemon until its outcome is written."""
-
-    op_id: str
-    request_id: str
-    row_key: str
-    fingerprint: str
-    condition: int  # revision that the insert is conditioned on
-    epoch: Epoch
-    phase: Literal["inserting", "checking", "held", "running", "writing"]
-    until: float  # deadline of the insert, of the run, or time of the next write
-    run_s: float  # how long a run may last
-    revision: int = 0  # of this claim's row, 0: not confirmed
-    inserts: int = 1
-    detached: bool = False  # the request has ended while the call runs
-    outcome: dict[str, object] | None = None
-    settled: float = 0.0  # when the outcome was known
-    backoff: float = FIRST_BACKOFF_S
-    pending: bool = False  # a background operation waits for its answer
-
-
 class Claims(Controller):
     """Owner of the claims that this daemon holds.
 
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -138,6 +138,13 @@
         self.assertEqual(call(self.two, "down-before")[0], 200)
         self.assertEqual(len(self.effects("down-before")), 1)
 
+    def test_a_body_that_is_too_large_says_nothing_of_earlier_submissions(self):
+        # Guards against "not run" from the HTTP server itself about a key that has run.
+        self.assertEqual(call(self.one, "large")[0], 200)
+        error = call(self.one, "large", pad="x" * (1 << 20))[1]["error"]
+        self.assertEqual((error["code"], error["ran"]), (Code.TOO_LARGE, "no"))
+        self.assertEqual(error["earlier_submissions"], "unknown")
+
     def test_a_slow_table_delays_no_caller_by_more_than_the_bounded_wait(self):
         # Guards against a queue behind a slow table: 40 callers on 8 threads would take 10 s.
         self.platform(table="slow")
