Test the bounded wait of a lookup with a paused clock

Cause: the process test of the slow table still passes with any one of its three protections disabled (own threads, bounded number of calls, bounded wait); the adapter's 2 s timeout covers for the others. The lookup's wait now has a test of its own.

--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -138,6 +138,18 @@
             (refusal.effect, refusal.earlier, refusal.retry_after_s), ("no", "unknown", 5.0)
         )
 
+    def test_a_lookup_is_awaited_for_two_seconds(self):
+        # Guards against a caller that waits as long as a slow table takes.
+        world = World(1)
+        name = world.submit(0, "a")
+        self.drive(world, lambda: world.calls)
+        world.advance(1.9)
+        self.assertNotIn(name, world.answers)
+        world.advance(0.2)
+        self.assertEqual(self.refusal(world, name).code, Code.TABLE_DOWN)
+        world.settle()
+        self.assertEqual(world.rows, {})
+
     def test_a_slow_table_holds_a_call_two_seconds_and_a_late_insert_runs_nothing(self):
         # Guards against queueing behind a slow table and against sending under an old claim.
         world = World(1)
