Serve marked requests in a daemon that is not on its own list of live ones

Cause: dealing out the servers looked the daemon up in membership.live(), which raises an error once a leaving daemon is left out there.

--- a/src/lovageway/filters/poison.py
+++ b/src/lovageway/filters/poison.py
@@ -94,10 +94,12 @@
 
     def _dealt(self, service: str) -> set[str]:
         """Return this daemon's part; every daemon that knows of the same deaths deals alike."""
-        nodes = [member.node for member in self._membership.live()]
+        me, nodes = self._membership.node, [member.node for member in self._membership.live()]
+        if me not in nodes:
+            return set()  # a leaving daemon still serves, with any server
         lost = {
             server for server, run in self._poison.runs() if run == self._backends.start_id(server)
         }
         servers = sorted(vm.vm_id for vm in self._membership.vms if vm.service == service)
         left = [server for server in servers if server not in lost]
-        return set(left[nodes.index(self._membership.node) :: len(nodes)])
+        return set(left[nodes.index(me) :: len(nodes)])
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -223,6 +223,12 @@
         self.fleet.deliver()
         self.assertEqual(self.counts(ctx), [(0, 0)] * 3)
 
+    def test_a_daemon_that_does_not_count_itself_as_live_serves_marked_requests(self):
+        # Guards against an error in a daemon that leaves while it still serves.
+        self.mark("good")
+        self.one.live = lambda: [self.two, self.three]
+        self.assertIn(self.fleet.admit(self.one, "good").ok.only, SERVERS)
+
     def test_unmarked_requests_are_not_held_up(self):
         # Guards against poison that stops the service for others.
         for name in ("bad", "bad"):
