--- a/src/lovageway/codes.py
+++ b/src/lovageway/codes.py
@@ -32,6 +32,7 @@
     OUTCOME_UNKNOWN = 4502
     IN_PROGRESS = 4503
     OUTCOME_UNKNOWN_NOW = 4504
+    ANSWER_NOT_STORED = 4505
     STREAM_LOST = 4601
     GENERATION_LOST = 4602
     ATTEMPT_FAILED = 4603
@@ -120,6 +121,9 @@
     Code.OUTCOME_UNKNOWN_NOW: CodeInfo(
         502, "unknown", "The answer was lost after the call was sent.", "Check the effect."
     ),
+    Code.ANSWER_NOT_STORED: CodeInfo(
+        409, "yes", "The call ran once; its answer is too large to keep.", "Read the effect back."
+    ),
     Code.STREAM_LOST: CodeInfo(
         502, "yes", "The stream could not be carried on from here.", "Resume with the token."
     ),
@@ -155,6 +159,7 @@
     retry_after_s: float | None = None
     ran: Ran | None = None  # overrides the table where this case is known better
     addresses: tuple[str, ...] = ()  # daemons to use instead
+    earlier: Literal["unknown"] | None = None  # set where earlier calls with the key may have run
 
     @property
     def effect(self) -> Ran:
@@ -165,7 +170,7 @@
         """Return the body of the error response."""
         info = INFO[self.code]
         message = f"{info.meaning} {self.detail}".strip()
-        error = {
+        error: dict[str, object] = {
             "code": int(self.code),
             "name": self.code.name,
             "message": f"{message} {info.remedy}",
@@ -174,4 +179,6 @@
         }
         if self.addresses:
             error["addresses"] = self.addresses
+        if self.earlier is not None:
+            error["earlier_submissions"] = self.earlier
         return {"error": error}
--- a/src/lovageway/filters/routing.py
+++ b/src/lovageway/filters/routing.py
@@ -110,7 +110,8 @@
         views = [
             view
             for view in self._backends.credits(ctx.req.service, now)
-            if fits(view, memory, batch, self._own.get(view.vm.vm_id, _NOTHING))
+            if ctx.only in ("", view.vm.vm_id)
+            and fits(view, memory, batch, self._own.get(view.vm.vm_id, _NOTHING))
         ]
         untried = [view for view in views if view.vm.vm_id not in ctx.tried]
         if untried or self._backends.has_other(ctx.req.service, ctx.tried):
