Shorten the wait after a crash when every other daemon answered

Cause: after the crash of an owner its resources were refused for 6.5 to 7 s. When all other daemons have answered that they take no more grants from the crashed one, it could only use shares by itself, and alone it stops within 2 s; the wait is then 2.5 s instead of 5.5 s.

--- a/src/lovageway/controllers/handover.py
+++ b/src/lovageway/controllers/handover.py
@@ -120,4 +120,4 @@
     def _covered(self, resource: str, now: float) -> bool:
         answered = self._asked[resource].answered
         recent = {node for node, at in answered.items() if now - at <= ANSWER_MAX_AGE_S}
-        return self._ownership.survey_complete(recent)
+        return self._ownership.covered(resource, recent, now)
--- a/src/lovageway/controllers/ownership.py
+++ b/src/lovageway/controllers/ownership.py
@@ -12,6 +12,9 @@
 DETECTION_SPREAD_S = 3.5
 NEW_OWNER_WAIT_S = GRANT_S * DRIFT + DETECTION_SPREAD_S
 ISOLATION_S = 2.0  # pings are sent every second, so a daemon in contact hears something each second
+# Others take no daemon for dead within ISOLATION_S of its last sign of life, so from then on its
+# last grant to itself has GRANT_S to run; half a second is for messages on their way.
+FENCED_WAIT_S = GRANT_S * DRIFT + 0.5
 PAUSE_S = 2.0  # a daemon that was paused this long may have been taken for dead
 REFRESH_S = 0.1
 SURVEY_MAX_DAEMONS = 16  # asking everyone costs one message for each daemon and resource
@@ -126,14 +129,15 @@
 
     def waited(self, resource: str, now: float) -> bool:
         """Tell whether every grant of an earlier owner must have expired."""
-        if self._base is None:
-            return False
+        return now - self._since(resource) >= NEW_OWNER_WAIT_S
+
+    def _since(self, resource: str) -> float:
         weight = rendezvous_weight(self.node, resource)
-        since = self._base
+        since = self.epoch()
         for at, node in self._departed:
             if rendezvous_weight(node, resource) > weight:
                 since = max(since, at)
-        return now - since >= NEW_OWNER_WAIT_S
+        return since
 
     def was_owner_before(self, new_owner: str, resource: str, now: float) -> bool:
         """Tell whether this daemon would own the resource if `new_owner` were not there.
@@ -157,16 +161,24 @@
             if nodes
         }
 
-    def survey_complete(self, answered: set[str]) -> bool:
-        """Tell whether the answers of these daemons cover every daemon that may hold a share.
+    def covered(self, resource: str, answered: set[str], now: float) -> bool:
+        """Tell whether these daemons' answers are enough to know every share that may be used.
 
-        A daemon that left counts when its VM runs a new daemon: then the old process has ended.
+        A daemon that left is covered when its VM runs a new daemon: then the old process has ended.
+        One single VM may be missing for FENCED_WAIT_S: since all others take no more grants from
+        it, it can only use shares by itself, and alone it stops to do so after ISOLATION_S.
         """
         covered = {vm_of(node) for node in answered} | {vm_of(self.node)}
         listed = {vm.vm_id for vm in self._membership.vms if vm.role == "entry"}
         listed |= {vm_of(node) for _, node in self._departed}
         everyone = (self._members.keys() | self._leaving.keys()) - {self.node}
-        return listed <= covered and everyone <= answered
+        missing = listed - covered
+        if not everyone <= answered or len(missing) > 1:
+            return False
+        left = [at for at, node in self._departed if vm_of(node) in missing]
+        if missing and not left:
+            return False  # it may be in contact with others for as long as DETECTION_SPREAD_S
+        return now - max(left, default=float("-inf")) >= FENCED_WAIT_S
 
     def address(self, node: str) -> str | None:
         """Return the peer address of a daemon, None when it is gone."""
--- a/tests/sharing.py
+++ b/tests/sharing.py
@@ -39,6 +39,9 @@
         return tuple(Vm(name, "entry", "", "zone", name) for name in names)
 
     def update(self, now):
+        if now < self.fleet.daemons[self.node].paused_until:
+            self.lost.clear()  # a paused daemon learns nothing
+            return
         for other in sorted(self.believed | self.fleet.daemons.keys()):
             if other == self.node:
                 continue
@@ -111,9 +114,10 @@
 
     def contact(self, one, two):
         ends = [self.daemons.get(one), self.daemons.get(two)]
-        return all(
-            item and self.now >= item.paused_until and self.now >= item.cut_until for item in ends
-        )
+        if not all(item and self.now >= item.paused_until for item in ends):
+            return False
+        # Daemons that are cut off at the same time are on the same side of a partition.
+        return len({self.now < item.cut_until for item in ends}) == 1
 
     def detection(self):
         return self.rng.uniform(2.0, 2.0 + self.spread_s)
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -10,9 +10,9 @@
 
 FAULTS = ("pause", "cut", "crash", "restart", "join", "leave", "demand")
 script = st.lists(
-    st.tuples(st.sampled_from(FAULTS), st.integers(0, 9), st.floats(0.1, 6.0)),
+    st.tuples(st.sampled_from(FAULTS), st.integers(0, 9), st.floats(0.1, 12.0)),
     min_size=2,
-    max_size=6,
+    max_size=5,
 )
 
 
@@ -54,13 +54,13 @@
     def test_the_sum_of_what_holders_may_use_never_exceeds_the_limit(self, seed, faults, mail):
         # Guards against every way in which two daemons use the same part of a limit: grants that
         # outlive their owner, two owners, late or repeated messages, pauses and restarts.
-        fleet = Fleet(seed, loss=mail, repeat=mail, delay_s=5 * mail)
+        fleet = Fleet(seed, 5, loss=mail, repeat=mail, delay_s=5 * mail)
         for number, item in enumerate(fleet.daemons.values()):
             item.demand = 3 + 6 * number
         fleet.run(4.0, check)
         for fault, number, seconds in faults:
             inject(fleet, fault, number, seconds)
-            fleet.run(min(seconds, 3.0), check)
+            fleet.run(min(seconds, 8.0), check)
         fleet.run(8.0, check)
 
     @settings(derandomize=True, deadline=None, max_examples=30)
