Test the owner, the holder, the ramp and real daemons

Cause: each side needs tests of its own next to the simulated fleet. The ledger now drops expired grants when it answers; before, they were counted until the next division (two tests failed).

--- a/src/lovageway/controllers/ledger.py
+++ b/src/lovageway/controllers/ledger.py
@@ -91,6 +91,8 @@
 
     def grant(self, node: str, limit: Limit, now: float) -> GrantLine:
         """Return the answer to the holder's last request."""
+        if len(self._entries) <= FEW_HOLDERS or now - self._divided >= MIN_DIVISION_INTERVAL_S:
+            self._expire(now)
         entry = self._entries[node]
         self._refill(limit, now)
         self._divide(limit, now)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -155,6 +155,13 @@
         body = {"op_id": "seed", "conditions": [["config/head", 0]], "puts": puts, "deletes": []}
         post(self.platform.address, "/v1/transact", body)
 
+    def change_configuration(self, version, rows):
+        """Write rows of a later version straight into the table service."""
+        puts = [["config/head", {"version": version, "op_id": f"test-{version}"}]]
+        puts += [[f"config/{key}", value] for key, value in rows.items()]
+        body = {"op_id": f"test-{version}", "conditions": [], "puts": puts, "deletes": []}
+        post(self.platform.address, "/v1/transact", body)
+
     def admin(self, process, path):
         """Read a page of the operators' interface."""
         headers = {"Authorization": f"Bearer {self.operator_key}"}
