Take the start identity of a server also from this daemon's grant

Cause: only the owner of a server reads its load reports now, so other daemons know the identity from their grants.

--- a/src/lovageway/controllers/backends.py
+++ b/src/lovageway/controllers/backends.py
@@ -128,8 +128,9 @@
         self._shares.release(_resource(server_id), (float(slots), float(memory)))
 
     def start_id(self, server_id: str) -> str:
-        """Return the start identity of the server as last seen here, "" when unknown."""
-        return self._starts.current(server_id)
+        """Return the identity of the server's present run, "" when this daemon does not know it."""
+        held = self._shares.held(_resource(server_id))
+        return self._starts.current(server_id) or (held.start_id if held else "")
 
     # ---- what attempts show ---------------------------------------------------------------------
 
