Doubt a server from its first failed connection on

Now the first failed connection is told to the owner, which allows one request until a report that was asked for afterwards; credit of holders that use nothing is at most what the server bears cold in all. Requests whose only server had failed waited 30 s without being tried there again; they are now.

--- a/src/lovageway/controllers/backends.py
+++ b/src/lovageway/controllers/backends.py
@@ -24,6 +24,8 @@
 MIN_OPEN_SERVERS = 8  # shares of this many servers give routing a choice
 REQUESTS_PER_OPEN_SERVER = 4
 SERVICE_ACTIVE_S = 5.0
+MAX_POLL_S = 3.0  # an answer that has not come by then never will
+TELL_INTERVAL_S = 0.1  # a server that ends breaks many requests at once
 SUSPEND_S = 1.0  # after a failed connection, doubled at each further one
 MAX_SUSPEND_S = 8.0
 WANT_S = 0.5  # a waiting request asks another server after this time
@@ -80,6 +82,9 @@
         self._starts = Starts()
         self._loads: dict[str, _Load] = {}
         self._polled: dict[str, float] = {}  # server -> first poll by this daemon as owner
+        self._asked: dict[str, float] = {}  # server -> poll that is not yet answered
+        self._doubted: dict[str, float] = {}  # server -> when a connection to it failed
+        self._told: dict[str, float] = {}  # server -> when its owner was told of a failure
         self._next_read = 0.0
         self._suspended: dict[str, _Suspension] = {}
         self._wants: dict[str, _Want] = {}  # request -> server that it asked last
@@ -147,6 +152,9 @@
             return
         # The server may have started anew; credit for its earlier run must not reach it.
         self._shares.void(_resource(server_id))
+        if now - self._told.get(server_id, float("-inf")) >= TELL_INTERVAL_S:
+            self._told[server_id] = now
+            self._tell_owner(ServerNews(server_id, ""), now, emit)
         if event.failure == "connect":
             old = self._suspended.get(server_id)
             length = min(MAX_SUSPEND_S, 2 * old.length) if old else SUSPEND_S
@@ -182,6 +190,9 @@
         if news.refused:
             self._starts.restart_ramp(news.server_id, now)
             emit(StateChanged("ramp_restarted", {"server": news.server_id, "why": "refused"}))
+        elif not news.start_id:
+            self._doubted[news.server_id] = now
+            self._poll(self._servers[news.server_id], now, emit)
         elif self._starts.seen(news.server_id, news.start_id, now):
             emit(StateChanged("server_started", {"server": news.server_id}))
         held = self._shares.held(_resource(news.server_id))
@@ -204,12 +215,17 @@
             asked = self._polled.get(name)
             unknown = load is not None or (asked is not None and now - asked > LOAD_MAX_AGE_S)
             return Limit((1.0 if unknown else 0.0, _memory(load)), start_id)
+        if name in self._doubted:
+            return Limit((1.0, _memory(load)), start_id)
         report = load.report
         slots = self._starts.slots(name, service, now)
         if slots < service.full_slots:
             slots = max(0, slots - self._orphans(name, load, now))
         reported = (float(report.running + report.waiting), float(report.memory_used))
-        return Limit((float(slots), _memory(load)), start_id, reported)
+        # A server may start anew between two reports; unused credit of that moment must not be
+        # more than it bears cold.
+        spare = float(service.cold_slots)
+        return Limit((float(slots), _memory(load)), start_id, reported, spare)
 
     def _orphans(self, server_id: str, load: _Load, now: float) -> int:
         """Return requests that run there although no share covers them.
@@ -232,8 +248,11 @@
 
     def on_load(self, server_id: str, report: LoadReport | None, now: float) -> None:
         """Take a load report, or None when it could not be read."""
+        asked = self._asked.pop(server_id, now)
         if report is None or not self._starts.reported(server_id, report.start_id, now):
             return
+        if self._doubted.get(server_id, now) < asked:
+            del self._doubted[server_id]
         old = self._loads.get(server_id)
         before = old.report.running + old.report.waiting if old else 0
         self._loads[server_id] = _Load(report, now, before)
@@ -253,10 +272,10 @@
         self._next_read = now + LOAD_INTERVAL_S
         for server_id, vm in self._servers.items():
             if self._shares.ownership.mine(_resource(server_id)):
-                self._polled.setdefault(server_id, now)
-                emit(ReadLoad(server_id, vm.address))
+                self._poll(vm, now, emit)
             elif self._polled.pop(server_id, None) is not None:
                 self._loads.pop(server_id, None)
+                self._doubted.pop(server_id, None)
         self._wants = {key: want for key, want in self._wants.items() if now - want.at < 1.0}
         for service, used_at in list(self._active.items()):
             if now - used_at > SERVICE_ACTIVE_S:
@@ -264,6 +283,13 @@
             else:
                 self._open_shares(service, now)
 
+    def _poll(self, vm: Vm, now: float, emit: Emit) -> None:
+        """Read the load report; one reading at a time, so that its age is known."""
+        self._polled.setdefault(vm.vm_id, now)
+        if now - self._asked.get(vm.vm_id, float("-inf")) > MAX_POLL_S:
+            self._asked[vm.vm_id] = now
+            emit(ReadLoad(vm.vm_id, vm.address))
+
     def dump(self, now: float) -> dict[str, object]:
         """Return load reports and requests in flight."""
         held = {vm_id: self._shares.held(_resource(vm_id)) for vm_id in self._servers}
@@ -289,7 +315,8 @@
         self._subsets = {}
         for server_id in self._starts.known() - self._servers.keys():
             self._starts.forget(server_id)
-            self._loads.pop(server_id, None)
+            for table in (self._loads, self._asked, self._doubted, self._told, self._suspended):
+                table.pop(server_id, None)
         for vm in self._servers.values():
             if not _enabled(before, vm) and _enabled(snapshot, vm):
                 self._starts.restart_ramp(vm.vm_id, now)
--- a/src/lovageway/controllers/holding.py
+++ b/src/lovageway/controllers/holding.py
@@ -236,7 +236,10 @@
 
     def _need(self, part: int, kind: Kind, unmet: float, now: float) -> float:
         if kind == "held":
-            recent = self._peak[part] if now - self._peak_at <= ACTIVE_S else 0.0
+            # A peak counts only while something runs: a running request notices that its server
+            # has started anew, so credit for the earlier run is not used after it.
+            active = any(self.in_use) and now - self._peak_at <= ACTIVE_S
+            recent = self._peak[part] if active else 0.0
             return max(self.in_use[part], recent) + unmet
         debt = max(0.0, -self._levels[part])
         return self._rates[part] + unmet / UNMET_S + debt
--- a/src/lovageway/controllers/ledger.py
+++ b/src/lovageway/controllers/ledger.py
@@ -25,6 +25,7 @@
     amounts: tuple[float, ...]
     start_id: str = ""  # of the backend server that the amounts are for
     committed: tuple[float, ...] = ()  # lower bound of what is in use, from a load report
+    idle_spare: float = math.inf  # of the first part, for all holders that use nothing
 
 
 class _Grant(NamedTuple):
@@ -251,6 +252,7 @@
                 [self._entries[node].in_use[part] for node in nodes],
                 [self._entries[node].wanted[part] for node in nodes],
                 limit.amounts[part],
+                math.inf if part else limit.idle_spare,
             )
             for part, kind in enumerate(self.kinds)
         ]
@@ -301,7 +303,9 @@
     return max([entry.heard + GRANT_S * DRIFT, *(grant.expires for grant in entry.grants)])
 
 
-def _divide_part(kind: Kind, in_use: list[float], wanted: list[float], limit: float) -> list[float]:
+def _divide_part(
+    kind: Kind, in_use: list[float], wanted: list[float], limit: float, idle_spare: float
+) -> list[float]:
     """Return each holder's part: what is in use, then needs evenly, then some spare."""
     floors = [min(*both) for both in zip(in_use, wanted, strict=True)]
     used, needed = sum(floors), sum(wanted)
@@ -313,7 +317,14 @@
         return _fill(floors, wanted, limit, whole)
     spare = (limit - needed) * RESERVE_PART / max(len(wanted), 1)
     least = max(limit * LEAST_SPARE_PART, 1.0 if whole else 0.0)
-    return [want + min(spare, max(least, want * SPARE_PART)) for want in wanted]
+    divided = []
+    for used, want in zip(in_use, wanted, strict=True):
+        extra = min(spare, max(least, want * SPARE_PART))
+        if not used:
+            extra = min(math.floor(extra) if whole else extra, idle_spare)
+            idle_spare -= extra
+        divided.append(want + extra)
+    return divided
 
 
 def _fill(floors: list[float], wanted: list[float], limit: float, whole: bool) -> list[float]:
--- a/src/lovageway/filters/routing.py
+++ b/src/lovageway/filters/routing.py
@@ -96,12 +96,13 @@
     def options(self, ctx: Context, memory: int, now: float) -> list[ServerView]:
         """Return the servers that have credit for the request."""
         batch = ctx.request_class == BATCH
-        return [
+        views = [
             view
             for view in self._backends.credits(ctx.req.service, now)
-            if view.vm.vm_id not in ctx.tried
-            and fits(view, memory, batch, self._own.get(view.vm.vm_id, _NOTHING))
+            if fits(view, memory, batch, self._own.get(view.vm.vm_id, _NOTHING))
         ]
+        # A server that failed is tried again rather than none: it may be the only one.
+        return [view for view in views if view.vm.vm_id not in ctx.tried] or views
 
     def want(self, ctx: Context, memory: int, now: float) -> None:
         """Note the need of a request that found no credit."""
--- a/src/lovageway/messages.py
+++ b/src/lovageway/messages.py
@@ -125,10 +125,10 @@
 
 
 class ServerNews(NamedTuple):
-    """A backend server was seen with an identity, or refused a request for overload."""
+    """A backend server was seen with an identity, failed, or refused a request for overload."""
 
     server_id: str
-    start_id: str
+    start_id: str  # "": a connection to it failed, so it may have started anew
     refused: bool = False
 
 
