Measure limits over real daemons against static division

Messages and bytes between daemons are counted. A server that failed is tried again only when there is no other server: the first form preferred the dead server with credit to a live one without, and test_exchange failed on it (whole delivery after a dead engine).

--- /dev/null
+++ b/bench/limits.py
@@ -0,0 +1,219 @@
+"""Measures how well limits hold over several daemons, and what the shares cost.
+
+    python -m bench.limits [DAEMONS ...]
+
+Each account has an engine of its own; the engine's own count of running and waiting requests, read
+20 times a second, is the measure. Callers offer about twice the limit. Baseline in the same run:
+the limit divided by the number of daemons, one account for each daemon (at least 1).
+"""
+
+import json
+import random
+import sys
+import threading
+import time
+
+import urllib3
+
+from tests.builders import contract_row, jar_returns_rows
+from tests.fleet import Fleet, http, wait_for
+
+SEED = 11
+LIMIT = 24
+RATE = 40.0
+LENGTH = 150
+STEP_MS = 10
+SETTLE_S = 3.0  # bound on the design page: 2 s, and one generation before it counts
+MEASURE_S = 6.0
+TARGET = 390
+
+
+class Load:
+    """Callers that send one request after the other, each to its own daemon."""
+
+    def __init__(self, targets, path, body, gap_s=0.0):
+        self.stop = False
+        self.path, self.body, self.gap_s = path, body, gap_s
+        self.done = []
+        self.resets = 0
+        self.threads = [
+            threading.Thread(target=self.run, args=(random.Random(SEED + n), *target), daemon=True)
+            for n, target in enumerate(targets)
+        ]
+        for thread in self.threads:
+            thread.start()
+
+    def run(self, rng, address, account):
+        """Send requests until the end."""
+        headers = {"Authorization": f"Bearer {account}-key"}
+        while not self.stop:
+            url = f"http://{address}{self.path}"
+            sent = time.monotonic()
+            try:
+                resp = http.request("POST", url, json=self.body, headers=headers)
+            except urllib3.exceptions.HTTPError:
+                # An idle connection that the daemon closes just then.
+                self.resets += 1
+                continue
+            if resp.status == 200:
+                self.done.append(time.monotonic())
+                rest = self.gap_s - (time.monotonic() - sent)
+                time.sleep(max(0.0, rest))
+            else:
+                time.sleep(rng.uniform(0.05, 0.15))
+
+    def end(self):
+        """Let requests in flight end."""
+        self.stop = True
+        for thread in self.threads:
+            thread.join(30)
+
+
+def start(fleet, count):
+    for name in ("shared", "static"):
+        options = ("--slots", "100", "--step-ms", str(STEP_MS), "--memory", "10000000")
+        fleet.backend(name, f"{name}-llm", "gobi", "engine", *options)
+    fleet.backend("counter-0", "counter-app", "gobi", "plain")
+    for number in range(count):
+        zone = ("khangai", "gobi", "selenge")[number % 3]
+        fleet.daemon(f"entry-{number}", zone, worker_threads=max(8, 160 // count))
+    rows = jar_returns_rows()
+    services = ["shared-llm", "static-llm", "counter-app"]
+    for name in ("shared-llm", "static-llm"):
+        rows[f"service/{name}"] = {"name": name, "kind": "engine", "full_slots": 400}
+        rows[f"service/{name}"]["cold_slots"] = 400
+    rows["service/counter-app"].update(cold_slots=400, full_slots=400)
+    part = max(1, LIMIT // count)
+    accounts = {"shared": (LIMIT, 1000.0), "rated": (1000, RATE)}
+    accounts |= {f"static-{n}": (part, 1000.0) for n in range(count)}
+    for name, (concurrency, rate) in accounts.items():
+        row = contract_row(name, concurrency=concurrency, requests_per_s=rate, services=services)
+        rows[f"contract/{name}"] = {**row, "tokens_per_s": 1e6}
+    fleet.write_configuration(rows)
+    fleet.publish_vms()
+    wait_for(lambda: ready(fleet, count), "live daemons", 90)
+    fleet.wait_ready()
+
+
+def ready(fleet, count):
+    dumps = [fleet.admin(item, "/admin/dump") for item in fleet.daemons.values()]
+    return all(len(dump["membership"]["live"]) == count for dump in dumps)
+
+
+def counters(fleet):
+    """Return totals over all daemons."""
+    totals = {}
+    for process in fleet.daemons.values():
+        headers = {"Authorization": f"Bearer {fleet.operator_key}"}
+        url = f"http://{process.addresses['operator_listen']}/metrics"
+        for line in http.request("GET", url, headers=headers).data.decode().splitlines():
+            name, _, value = line.partition(" ")
+            if name in ("lovageway_peer_bytes_total", "lovageway_share_lines_total"):
+                totals[name] = totals.get(name, 0.0) + float(value)
+            if name in ("lovageway_peer_messages_total", "lovageway_grant_lines_total"):
+                totals[name] = totals.get(name, 0.0) + float(value)
+    return totals
+
+
+def rates(fleet, before, seconds, count):
+    after = counters(fleet)
+    names = ("peer_bytes", "peer_messages", "share_lines", "grant_lines")
+    return {
+        name: (after.get(f"lovageway_{name}_total", 0) - before.get(f"lovageway_{name}_total", 0))
+        / seconds
+        / count
+        for name in names
+    }
+
+
+def concurrency(fleet, label, server, targets, limit, idle):
+    address = fleet.vms[server]["address"]
+    body = {"model": f"{server}-llm", "prompt": f"len={LENGTH}", "max_tokens": LENGTH}
+    load = Load(targets, "/v1/completions", body)
+    time.sleep(SETTLE_S)
+    before, samples, end = counters(fleet), [], time.monotonic() + MEASURE_S
+    while time.monotonic() < end:
+        found = json.loads(http.request("GET", f"http://{address}/load").data)
+        samples.append(found["running"] + found["waiting"])
+        time.sleep(0.05)
+    cost = rates(fleet, before, MEASURE_S, len(fleet.daemons))
+    load.end()
+    mean = sum(samples) / len(samples)
+    over, under = max(0, max(samples) - limit), 100 * (1 - mean / limit)
+    print(
+        f"{label:34} limit {limit:3}  max {max(samples):3}  over {over:2}  mean {mean:5.1f}"
+        f"  under {under:5.1f} %  | per daemon: {cost['share_lines']:5.2f} + "
+        f"{cost['grant_lines']:5.2f} lines/s, {(cost['peer_bytes'] - idle['peer_bytes']):6.0f} B/s"
+        f" over idle ({idle['peer_bytes']:.0f} B/s); resets {load.resets}",
+        flush=True,
+    )
+    return cost
+
+
+def rate(label, targets):
+    load = Load(targets, "/v1/services/counter-app/history", {}, gap_s=len(targets) / (2 * RATE))
+    time.sleep(SETTLE_S)
+    began = time.monotonic()
+    time.sleep(MEASURE_S)
+    ended = time.monotonic()
+    load.end()
+    times = sorted(load.done)
+    counted = sum(began <= at < ended for at in times)
+    window = max(sum(at <= other < at + 1 for other in times) for at in times)
+    under = 100 * (1 - counted / RATE / (ended - began))
+    print(
+        f"{label:34} limit {RATE:.0f}/s  served {counted / (ended - began):5.1f}/s"
+        f" resets {load.resets}"
+        f"  under {under:5.1f} %  most in any second {window} (bound {2 * RATE:.0f})",
+        flush=True,
+    )
+
+
+def measure(count):
+    print(f"-- {count} daemons", flush=True)
+    with Fleet() as fleet:
+        start(fleet, count)
+        time.sleep(7)  # unused shares of the start are dropped
+        before = counters(fleet)
+        time.sleep(4)
+        idle = rates(fleet, before, 4, count)
+        addresses = [process.address for process in fleet.daemons.values()]
+        callers = 2 * LIMIT
+        even = [addresses[n % count] for n in range(callers)]
+        one = [addresses[0]] * callers
+        cost = concurrency(
+            fleet, "shares, even", "shared", [(at, "shared") for at in even], LIMIT, idle
+        )
+        concurrency(
+            fleet, "shares, one daemon", "shared", [(a, "shared") for a in one], LIMIT, idle
+        )
+        static = [(at, f"static-{n % count}") for n, at in enumerate(even)]
+        concurrency(fleet, "static division, even", "static", static, LIMIT, idle)
+        static = [(at, "static-0") for at in one]
+        concurrency(fleet, "static division, one daemon", "static", static, LIMIT, idle)
+        rate("shares, requests/s, even", [(at, "rated") for at in even])
+        rate("shares, requests/s, one daemon", [(at, "rated") for at in one])
+        lines = cost["share_lines"] + cost["grant_lines"]
+        if lines:
+            each = (cost["peer_bytes"] - idle["peer_bytes"]) / lines
+            print(
+                f"{each:.0f} B for each line sent. At {TARGET} daemons with 60 accounts in use at "
+                f"each: 60 + 60 lines each 0.94 s = {128 * each / 1000:.1f} KB/s sent by each "
+                "daemon, servers not counted",
+                flush=True,
+            )
+
+
+def main():
+    counts = [int(text) for text in sys.argv[1:]] or [1, 8, 32]
+    print(
+        f"seed {SEED}, limit {LIMIT} concurrent, {RATE:.0f} requests/s, {2 * LIMIT} callers, "
+        f"generations of {LENGTH} tokens at {STEP_MS} ms and more, measured for {MEASURE_S} s "
+        f"after {SETTLE_S} s"
+    )
+    for count in counts:
+        measure(count)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/lovageway/controllers/backends.py
+++ b/src/lovageway/controllers/backends.py
@@ -107,6 +107,10 @@
             views.append(_view(vm, held, now))
         return views
 
+    def has_other(self, service: str, tried: tuple[str, ...]) -> bool:
+        """Tell whether this daemon may use a server that is not among those tried."""
+        return any(vm.vm_id not in tried for vm in self._subset(service))
+
     def want(self, service: str, request_id: str, memory: int, now: float) -> None:
         """Note that a request found no credit; call it at each try of the request."""
         known = self._wants.get(request_id)
@@ -362,7 +366,8 @@
             known = held is not None and now < held.expires
             room = held.limits[0] - held.committed[0] if held and known else 1.0
             short = held is not None and held.short(now)
-            return short, asked.get(vm.vm_id, 0) - room
+            failed = now - self._told.get(vm.vm_id, float("-inf")) < SUSPEND_S
+            return short or failed, asked.get(vm.vm_id, 0) - room
 
         servers = [vm for vm in self._subset(service) if not self._is_suspended(vm.vm_id, now)]
         return min(servers, key=cost).vm_id if servers else None
--- a/src/lovageway/filters/routing.py
+++ b/src/lovageway/filters/routing.py
@@ -101,8 +101,10 @@
             for view in self._backends.credits(ctx.req.service, now)
             if fits(view, memory, batch, self._own.get(view.vm.vm_id, _NOTHING))
         ]
-        # A server that failed is tried again rather than none: it may be the only one.
-        return [view for view in views if view.vm.vm_id not in ctx.tried] or views
+        untried = [view for view in views if view.vm.vm_id not in ctx.tried]
+        if untried or self._backends.has_other(ctx.req.service, ctx.tried):
+            return untried
+        return views  # every server has failed once; each may have come back
 
     def want(self, ctx: Context, memory: int, now: float) -> None:
         """Note the need of a request that found no credit."""
--- a/src/lovageway/metrics.py
+++ b/src/lovageway/metrics.py
@@ -18,6 +18,8 @@
     "grant_lines": ("Lines of grants sent to holders.", ()),
     "limited": ("Requests refused or delayed by a limit of their contract.", ("part",)),
     "server_news": ("Reports on start identities and overload sent to owners.", ()),
+    "peer_messages": ("Messages sent to other daemons.", ()),
+    "peer_bytes": ("Bytes of the frames sent to other daemons.", ()),
     "peer_errors": ("Peer connections dropped or messages lost.", ("reason",)),
 }
 
--- a/tests/credits.py
+++ b/tests/credits.py
@@ -44,6 +44,9 @@
             self.slots,
         )
 
+    def has_other(self, service, tried):
+        return any(name not in tried for name in self.names)
+
     def want(self, service, request_id, memory, now):
         self.wanted.append(request_id)
 
