--- a/bench/limits.py
+++ b/bench/limits.py
@@ -14,7 +14,6 @@
 import time
 
 import urllib3
-
 from tests.builders import contract_row, jar_returns_rows
 from tests.fleet import Fleet, http, wait_for
 
--- /dev/null
+++ b/tests/test_backends.py
@@ -0,0 +1,184 @@
+"""Capacity of backend servers as their owner sees it, and the credit of one daemon."""
+
+import unittest
+
+from lovageway.controllers.backends import MAX_SUBSET, Backends
+from lovageway.controllers.shares import Shares
+from lovageway.events import AttemptFailed, ReadLoad
+from lovageway.messages import Member, ServerNews
+from lovageway.model import Identity, LoadReport, ServerRule, Service, Snapshot, Vm, Zone
+
+SERVICE = Service("crock-llm", "engine", cold_slots=2, full_slots=16, ramp_s=10.0)
+NODE = "entry/1"
+
+
+def snapshot(version=1, zone=True, server=True):
+    zones = {name: Zone(name, name, zone or name != "gobi") for name in ("gobi", "khangai")}
+    rules = {"s0": ServerRule("s0", server)}
+    return Snapshot(version, {}, {"crock-llm": SERVICE}, zones, rules)
+
+
+class Single:
+    """Membership and configuration of a fleet of one daemon."""
+
+    def __init__(self, servers):
+        self.node = NODE
+        self.identity = Identity("entry", "1", "gobi", "a", "p")
+        self.vms = (Vm("entry", "entry", "", "gobi", "a", "p"), *servers)
+        self.snapshot = snapshot()
+
+    def live(self):
+        return [Member(NODE, "a", "p", "gobi", 0, "live")]
+
+    def has_majority(self):
+        return True
+
+
+class Daemon:
+    def __init__(self, *servers):
+        self.around = Single(servers or (Vm("s0", "backend", "crock-llm", "gobi", "s:1"),))
+        self.shares = Shares(self.around)
+        self.backends = Backends(self.around, self.around, self.shares)
+        self.shares.register("server", self.backends)
+        self.now = 100.0
+        self.effects = []
+        self.report = LoadReport("run1", 0, 0, 0, 10000)
+        self.run(0.8)
+
+    def run(self, seconds):
+        """Let time pass; every reading of load reports is answered with `report`."""
+        for _ in range(round(seconds / 0.1)):
+            self.now += 0.1
+            self.effects = []
+            self.backends.tick(self.now, self.effects.append)
+            self.shares.tick(self.now, self.effects.append)
+            self.shares.flush(self.now, self.effects.append)
+            self.answer()
+
+    def answer(self):
+        for effect in self.effects:
+            if isinstance(effect, ReadLoad):
+                self.backends.on_load(effect.server_id, self.report, self.now)
+        self.effects = []
+
+    def limit(self):
+        return self.backends.limit("s0", self.now).amounts
+
+    def credits(self):
+        return self.backends.credits("crock-llm", self.now)
+
+    def want(self):
+        self.backends.want("crock-llm", "request", 100, self.now)
+        self.shares.flush(self.now, self.effects.append)
+
+    def fail(self, failure, start_id=None):
+        event = AttemptFailed("request", 0, failure, 0, start_id)
+        self.backends.attempt_failed("s0", event, self.now, self.effects.append)
+
+
+class Owner(unittest.TestCase):
+    def test_the_limit_follows_the_ramp_and_restarts_with_the_server(self):
+        # Guards against a warm limit for a server that has just started.
+        daemon = Daemon()
+        self.assertEqual(daemon.limit(), (2, 9000))
+        daemon.run(12)
+        self.assertEqual(daemon.limit(), (16, 9000))
+        daemon.report = daemon.report._replace(start_id="run2")
+        daemon.run(0.6)
+        self.assertLessEqual(daemon.limit()[0], 3)
+
+    def test_a_server_without_recent_report_gets_one_request_at_a_time(self):
+        # Guards against load for a server of which nothing is known.
+        daemon = Daemon()
+        daemon.run(12)
+        daemon.report = None
+        daemon.run(4)
+        self.assertEqual(daemon.limit()[0], 1)
+
+    def test_a_failed_connection_leaves_one_request_until_a_later_report(self):
+        # Guards against load on credit for the earlier run of a server that started anew.
+        daemon = Daemon()
+        daemon.run(12)
+        daemon.fail("lost")
+        self.assertEqual(daemon.limit()[0], 1)
+        self.assertEqual(daemon.credits(), [])
+        daemon.now += 0.01
+        daemon.answer()
+        self.assertEqual(daemon.limit()[0], 1, "the report was asked for before the failure")
+        daemon.run(1)
+        self.assertEqual(daemon.limit()[0], 16)
+
+    def test_a_refusal_for_overload_restarts_the_ramp(self):
+        # Guards against a server that is pushed on while it refuses.
+        daemon = Daemon()
+        daemon.run(12)
+        daemon.fail("refused", "run1")
+        daemon.run(1)
+        self.assertLessEqual(daemon.limit()[0], 4)
+
+    def test_requests_left_by_dead_daemons_are_taken_off_a_cold_server(self):
+        # Guards against an overload by what runs there already although no share covers it.
+        daemon = Daemon()
+        daemon.report = daemon.report._replace(running=2)
+        daemon.run(1.5)
+        self.assertLessEqual(daemon.limit()[0], 2)
+
+    def test_a_server_that_is_taken_out_or_leaving_gets_nothing(self):
+        # Guards against new work for a zone or server that operators or the platform take away.
+        for change in ("zone", "server", "vm", "report"):
+            daemon = Daemon()
+            daemon.run(12)
+            daemon.want()
+            self.assertTrue(daemon.credits())
+            match change:
+                case "vm":
+                    leaving = daemon.around.vms[1]._replace(state="leaving")
+                    daemon.around.vms = (daemon.around.vms[0], leaving)
+                case "report":
+                    daemon.report = daemon.report._replace(state="leaving")
+                case _:
+                    daemon.around.snapshot = snapshot(2, **{change: False})
+            daemon.run(0.7)
+            self.assertEqual(daemon.limit(), (0, 0), change)
+            self.assertFalse([view for view in daemon.credits() if view.slots_free], change)
+
+    def test_the_ramp_restarts_when_a_zone_is_brought_back(self):
+        # Guards against full load at once for servers that were out of work.
+        daemon = Daemon()
+        daemon.run(12)
+        daemon.around.snapshot = snapshot(2, zone=False)
+        daemon.run(0.5)
+        daemon.around.snapshot = snapshot(3)
+        daemon.run(0.5)
+        self.assertLessEqual(daemon.limit()[0], 3)
+
+
+class Credit(unittest.TestCase):
+    def test_a_share_of_another_run_is_void(self):
+        # Guards against credit that outlives the run of the server that it was granted for.
+        daemon = Daemon()
+        daemon.run(12)
+        daemon.want()
+        self.assertTrue(daemon.credits())
+        daemon.backends.attempt_started("s0", "run2", daemon.now, daemon.effects.append)
+        self.assertEqual(daemon.credits(), [])
+        late = ServerNews("s0", "run1")
+        daemon.backends.on_message("x/1", "x", late, daemon.now, daemon.effects.append)
+        self.assertEqual(daemon.limit()[0], 2)
+
+    def test_a_daemon_uses_a_bounded_subset_with_its_own_zone_first(self):
+        # Guards against a cost of each request that grows with the number of servers.
+        servers = [
+            Vm(f"s{n}", "backend", "crock-llm", ("khangai", "gobi")[n < 10], f"s:{n}")
+            for n in range(100)
+        ]
+        daemon = Daemon(*servers)
+        daemon.run(3)
+        daemon.credits()
+        daemon.run(1)
+        views = daemon.credits()
+        self.assertLessEqual(len(views), MAX_SUBSET)
+        self.assertTrue({view.vm.vm_id for view in views} & {f"s{n}" for n in range(10)})
+        subset = daemon.backends._subset("crock-llm")
+        self.assertEqual({vm.zone for vm in subset[:10]}, {"gobi"})
+        self.assertEqual(len(subset), MAX_SUBSET)
