--- a/bench/limits.py
+++ b/bench/limits.py
@@ -35,6 +35,7 @@
         self.path, self.body, self.gap_s = path, body, gap_s
         self.done = []
         self.resets = 0
+        self.refusals = {}
         self.threads = [
             threading.Thread(target=self.run, args=(random.Random(SEED + n), *target), daemon=True)
             for n, target in enumerate(targets)
@@ -59,6 +60,8 @@
                 rest = self.gap_s - (time.monotonic() - sent)
                 time.sleep(max(0.0, rest))
             else:
+                code = json.loads(resp.data)["error"]["code"]
+                self.refusals[code] = self.refusals.get(code, 0) + 1
                 time.sleep(rng.uniform(0.05, 0.15))
 
     def end(self):
@@ -143,7 +146,8 @@
         f"{label:34} limit {limit:3}  max {max(samples):3}  over {over:2}  mean {mean:5.1f}"
         f"  under {under:5.1f} %  | per daemon: {cost['share_lines']:5.2f} + "
         f"{cost['grant_lines']:5.2f} lines/s, {(cost['peer_bytes'] - idle['peer_bytes']):6.0f} B/s"
-        f" over idle ({idle['peer_bytes']:.0f} B/s); resets {load.resets}",
+        f" over idle ({idle['peer_bytes']:.0f} B/s); resets {load.resets}"
+        f", refusals {load.refusals}",
         flush=True,
     )
     return cost
--- a/src/lovageway/controllers/ledger.py
+++ b/src/lovageway/controllers/ledger.py
@@ -64,6 +64,7 @@
         self._total = list(self._zero)
         self._targets: dict[str, tuple[float, ...]] = {}
         self._divided = float("-inf")
+        self._divided_for: tuple[float, ...] = ()
         self._dirty = True
         self._number = 0
         self._pool: list[float] | None = None
@@ -242,9 +243,10 @@
 
     def _divide(self, limit: Limit, now: float) -> None:
         throttled = len(self._entries) > FEW_HOLDERS
-        if not self._dirty or (throttled and now - self._divided < MIN_DIVISION_INTERVAL_S):
+        changed = self._dirty or limit.amounts != self._divided_for
+        if not changed or (throttled and now - self._divided < MIN_DIVISION_INTERVAL_S):
             return
-        self._divided, self._dirty = now, False
+        self._divided, self._dirty, self._divided_for = now, False, limit.amounts
         nodes = [node for node, item in self._entries.items() if item.heard + GRANT_S > now]
         columns = [
             _divide_part(
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -113,6 +113,7 @@
         daemon = Daemon()
         daemon.run(12)
         daemon.fail("refused", "run1")
+        daemon.answer()
         daemon.run(1)
         self.assertLessEqual(daemon.limit()[0], 4)
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -67,10 +67,11 @@
         # Guards against new requests in the place of running ones above the grant.
         ledger = Ledger(("held", "rate"))
         ask(ledger, "a", 1, 20, 0.0)
-        ledger.request("b", line(1, 20), 0.1)
-        smaller = ask(ledger, "a", 2, 20, 0.2, in_use=20.0)
-        ask(ledger, "a", 3, 20, 0.3, in_use=20.0, confirmed=smaller.number)
-        self.assertEqual(ask(ledger, "b", 2, 20, 0.4).amounts[0], 0)
+        lowered = Limit((8.0, 50.0))
+        smaller = ask(ledger, "a", 2, 20, 0.2, lowered, in_use=20.0)
+        self.assertLessEqual(smaller.amounts[0], 8)
+        ledger.request("a", line(3, 20, in_use=20.0, confirmed=smaller.number), 0.3)
+        self.assertEqual(ask(ledger, "b", 1, 20, 0.4).amounts[0], 0)
 
     def test_inherited_grants_count_until_they_expire_or_are_replaced(self):
         # Guards against a new owner that gives out what holders have from the old one.
