Suspend a server once for requests that fail together

Each failed connection doubled the suspension, so a burst of connections beyond a server's backlog stopped it for 8 s at once. Run: tests.test_backends 10 passed; the new test fails with the old rule.

--- a/src/lovageway/controllers/backends.py
+++ b/src/lovageway/controllers/backends.py
@@ -26,8 +26,9 @@
 SERVICE_ACTIVE_S = 5.0
 MAX_POLL_S = 3.0  # an answer that has not come by then never will
 TELL_INTERVAL_S = 0.1  # a server that ends breaks many requests at once
-SUSPEND_S = 1.0  # after a failed connection, doubled at each further one
-MAX_SUSPEND_S = 8.0
+SUSPEND_S = 0.25  # after a failed connection, doubled at each further one
+MAX_SUSPEND_S = 4.0
+FAILED_S = 1.0  # a server that failed so lately is asked for credit after the others
 WANT_S = 0.5  # a waiting request asks another server after this time
 
 
@@ -159,7 +160,8 @@
         if now - self._told.get(server_id, float("-inf")) >= TELL_INTERVAL_S:
             self._told[server_id] = now
             self._tell_owner(ServerNews(server_id, ""), now, emit)
-        if event.failure == "connect":
+        if event.failure == "connect" and not self._is_suspended(server_id, now):
+            # Requests that fail together count once.
             old = self._suspended.get(server_id)
             length = min(MAX_SUSPEND_S, 2 * old.length) if old else SUSPEND_S
             self._suspended[server_id] = _Suspension(now + length, length)
@@ -366,7 +368,7 @@
             known = held is not None and now < held.expires
             room = held.limits[0] - held.committed[0] if held and known else 1.0
             short = held is not None and held.short(now)
-            failed = now - self._told.get(vm.vm_id, float("-inf")) < SUSPEND_S
+            failed = now - self._told.get(vm.vm_id, float("-inf")) < FAILED_S
             return short or failed, asked.get(vm.vm_id, 0) - room
 
         servers = [vm for vm in self._subset(service) if not self._is_suspended(vm.vm_id, now)]
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -167,6 +167,18 @@
         daemon.backends.on_message("x/1", "x", late, daemon.now, daemon.effects.append)
         self.assertEqual(daemon.limit()[0], 2)
 
+    def test_requests_that_fail_together_suspend_a_server_once(self):
+        # Guards against a long stop of a service by one burst of failed connections.
+        daemon = Daemon()
+        daemon.run(12)
+        daemon.want()
+        for _ in range(20):
+            daemon.fail("connect")
+        daemon.run(1)
+        daemon.want()
+        daemon.run(0.1)
+        self.assertTrue(daemon.credits())
+
     def test_a_daemon_uses_a_bounded_subset_with_its_own_zone_first(self):
         # Guards against a cost of each request that grows with the number of servers.
         servers = [
