--- a/src/lovageway/controllers/holding.py
+++ b/src/lovageway/controllers/holding.py
@@ -14,6 +14,7 @@
 MIN_ASK_INTERVAL_S = 0.025
 RETRY_ASK_S = 0.25  # between asks after the owner had nothing more to give
 RATE_SMOOTHING = 0.5
+ROUNDING = 1e-9  # of sums of floats; nine tenths and one tenth must make one request
 
 
 class Shortage(NamedTuple):
@@ -89,7 +90,7 @@
         """Take the amounts for the request `key`, or note its need and say what is missing."""
         self.used_at = now
         for part, amount in enumerate(amounts):
-            if now >= self.expires or self.free(part, now) < amount:
+            if now >= self.expires or self.free(part, now) + ROUNDING < amount:
                 return self._miss(key, part, amounts, now)
         self._unmet.pop(key, None)
         self.take(amounts, now)
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,118 @@
+"""Requests wait for a first share and are refused with the right code over the limit."""
+
+import unittest
+
+from lovageway.chain import Chain, Context
+from lovageway.codes import Code
+from lovageway.controllers.shares import Shares
+from lovageway.events import Refuse, Request
+from lovageway.filters.limits import AccountLimits, Limits
+from lovageway.messages import Member
+from lovageway.model import Contract, Identity, Snapshot, Vm
+
+NODE = "entry/1"
+
+
+class Around:
+    """Membership and configuration of one daemon; without contact it can own nothing."""
+
+    def __init__(self, **limits):
+        self.node = NODE
+        self.identity = Identity("entry", "1", "gobi", "a", "p")
+        self.vms = (Vm("entry", "entry", "", "gobi", "a", "p"),)
+        self.contact = True
+        row = {"requests_per_s": 100.0, "concurrency": 100, "tokens_per_s": 1000.0, **limits}
+        self.contract = Contract("clerks", (), (), **row)
+        self.snapshot = Snapshot(1, {"clerks": self.contract}, {}, {}, {})
+
+    def live(self):
+        return [Member(NODE, "a", "p", "gobi", 0, "live")]
+
+    def has_majority(self):
+        return self.contact
+
+
+class Daemon:
+    def __init__(self, contact=True, **limits):
+        self.around = Around(**limits)
+        self.around.contact = contact
+        self.shares = Shares(self.around)
+        self.shares.register("account", AccountLimits(self.around))
+        self.chain = Chain([Limits(self.shares)])
+        self.now, self.refusals, self.count = 100.0, {}, 0
+        self.run(6.0)  # past the wait of a new owner, so that the burst is full
+
+    def emit(self, effect):
+        if isinstance(effect, Refuse):
+            self.refusals[effect.request_id] = effect.refusal
+
+    def run(self, seconds):
+        for _ in range(round(seconds / 0.05)):
+            self.now += 0.05
+            self.shares.tick(self.now, self.emit)
+            self.shares.flush(self.now, self.emit)
+            self.chain.poll(self.now, self.emit)
+
+    def arrive(self, count=1):
+        """Let requests arrive at once; returns the names of those that passed or wait."""
+        names = [f"request-{self.count + n}" for n in range(count)]
+        self.count += count
+        for name in names:
+            req = Request(name, "", "crock-llm", "completions", "", 1, 1)
+            ctx = Context(req, self.now, self.around.contract)
+            self.chain.enter(ctx, self.now, self.emit)
+            if self.shares.flush(self.now, self.emit):
+                self.chain.poll(self.now, self.emit)
+        return [name for name in names if self.chain.get(name)]
+
+
+class LimitsFilter(unittest.TestCase):
+    def test_concurrency_is_refused_at_once_and_given_back(self):
+        # Guards against requests above the limit, and against a limit that is used up for ever.
+        daemon = Daemon(concurrency=5)
+        daemon.arrive(8)
+        daemon.run(0.5)
+        self.assertEqual(len(daemon.chain), 5)
+        self.assertEqual({item.code for item in daemon.refusals.values()}, {Code.CONCURRENCY})
+        refused = f"request-{daemon.count}"
+        daemon.arrive()
+        self.assertIn(refused, daemon.refusals, "refused at once")
+        for name in [name for name in map("request-{}".format, range(8)) if daemon.chain.get(name)]:
+            daemon.chain.finish(name, daemon.now, daemon.emit)
+        self.assertEqual(len(daemon.arrive(5)), 5)
+
+    def test_a_rate_is_refused_with_the_time_until_the_next_request(self):
+        # Guards against a retry time that is too short to help.
+        daemon = Daemon(requests_per_s=4.0)
+        passed = len(daemon.arrive(20))
+        daemon.run(0.1)
+        self.assertLessEqual(len(daemon.chain), 8)
+        self.assertGreaterEqual(passed, 4)
+        refusal = list(daemon.refusals.values())[-1]
+        self.assertEqual(refusal.code, Code.REQUEST_RATE)
+        daemon.run(refusal.retry_after_s + 0.05)
+        self.assertEqual(len(daemon.arrive()), 1)
+
+    def test_output_tokens_in_debt_stop_the_next_request(self):
+        # Guards against accounts whose long answers are never charged.
+        daemon = Daemon(tokens_per_s=100.0)
+        (name,) = daemon.arrive()
+        daemon.run(0.1)
+        daemon.chain.delivered(name, 400, 400, daemon.now, daemon.emit)
+        daemon.run(0.1)
+        daemon.arrive()
+        daemon.run(0.6)
+        (refusal,) = daemon.refusals.values()
+        self.assertEqual(refusal.code, Code.TOKEN_RATE)
+        daemon.run(4.0)
+        self.assertEqual(len(daemon.arrive()), 1)
+
+    def test_without_owner_a_request_waits_one_second_and_is_refused(self):
+        # Guards against a daemon that guesses a share, and against callers that hang.
+        daemon = Daemon(contact=False)
+        self.assertEqual(len(daemon.arrive()), 1)
+        daemon.run(0.9)
+        self.assertEqual(daemon.refusals, {})
+        daemon.run(0.2)
+        (refusal,) = daemon.refusals.values()
+        self.assertEqual((refusal.code, refusal.effect), (Code.SHARE_UNAVAILABLE, "no"))
