--- a/src/lovageway/filters/admission.py
+++ b/src/lovageway/filters/admission.py
@@ -1,6 +1,7 @@
 """Decides when a request may go to a server: predicted memory, classes and a bounded queue."""
 
 from collections import OrderedDict
+from itertools import islice
 from math import exp
 from typing import NamedTuple
 
@@ -16,6 +17,9 @@
 
 # Every waiting request occupies a worker thread; batch must not take those of interactive ones.
 MAX_WAITING = {INTERACTIVE: 128, BATCH: 64}
+# Only the first waiting requests ask for more credit. When all of them did, their lines to the
+# owners of servers used up the budget of share messages, and account shares expired (4205).
+WANTING = 4
 MIN_RETRY_S = 0.5
 MAX_RETRY_S = 60.0
 
@@ -108,7 +112,6 @@
                 del lane.waiting[request_id]
                 lane.drain.serve(memory or 1)
             return Ok(ctx._replace(memory=memory))
-        self._routing.want(ctx, memory, now)
         if not queued:
             refusal = self._overload(ctx, lane, memory)
             if refusal is not None:
@@ -116,6 +119,8 @@
                 return stop(refusal)
             emit(Count("queued", (ctx.request_class,)))
         lane.waiting[request_id] = memory
+        if request_id in islice(lane.waiting, WANTING):
+            self._routing.want(ctx, memory, now)
         return stop(self._wait(ctx, lane, memory, now))
 
     def abandon(self, ctx: Context, now: float, emit: Emit) -> None:
--- a/src/lovageway/filters/routing.py
+++ b/src/lovageway/filters/routing.py
@@ -33,7 +33,7 @@
 # Of the expected remainder, charged ahead of time. While one generation grows, others end: charging
 # the 80 % quantile filled engines to about half, 0.5 and 0.25 refused more at the same load, and
 # none of them led to preemptions; see docs/measurements/routing.md.
-REMAINDER_PART = 0.1
+REMAINDER_PART = 0.2
 GROWTH_CHECK = 1.15  # the charge is looked at again when the output has grown by this factor
 
 
