--- /dev/null
+++ b/tests/test_engine_standin.py
@@ -0,0 +1,89 @@
+"""The engine stand-in: step time, prefix cache, preemption by priority and lagging reports."""
+
+import argparse
+import time
+import unittest
+
+from tests.fleet import wait_for
+from tests.standins.engine import Engine, PrefixCache, Sequence
+
+DEFAULTS = {
+    "slots": 16,
+    "cold_slots": 16,
+    "ramp": 0.0,
+    "memory": 1000,
+    "step_ms": 1.0,
+    "check_fencing": False,
+    "prefill_per_s": 1e6,
+    "chunk": 2048,
+    "cache": 1 << 30,
+    "load_lag": 0.0,
+    "keep_s": 60.0,
+}
+
+
+def engine(**changes):
+    return Engine(argparse.Namespace(**{**DEFAULTS, **changes}))
+
+
+def body(tokens, prompt="", priority=0):
+    text = f"len={tokens} {prompt}"
+    return {"prompt": text, "max_tokens": tokens, "priority": priority}
+
+
+class Decoding(unittest.TestCase):
+    def test_full_memory_preempts_batch_and_every_token_still_comes(self):
+        # Guards against a stand-in that never shows the cost of overcommitted memory, and against
+        # tokens that are lost or doubled by preemption.
+        found = engine(memory=600)
+        for number in range(4):
+            found.start(f"b{number}", body(250, priority=10), [])
+        found.start("i", body(100), [])
+        sequences = list(found.sequences.values())
+        wait_for(lambda: all(seq.done == seq.wanted for seq in sequences), "all tokens")
+        stats = found.stats()
+        self.assertGreater(stats["preemptions"][10], 0)
+        self.assertEqual(stats["preemptions"][0], 0)
+        self.assertGreater(stats["stall_s"][10], 0)
+        self.assertEqual(found.load()["preemptions"], stats["preemptions"][10])
+
+    def test_steps_get_longer_with_memory_and_prompts(self):
+        # Guards against an engine on which overload costs nothing.
+        found = engine(prefill_per_s=1000.0)
+        idle = found.step_s(0)
+        self.assertAlmostEqual(found.step_s(100) - idle, 0.1)
+        with found.cond:
+            found.running = [Sequence("s", body(10, "x" * 3200), time.monotonic())]
+            self.assertGreater(found.step_s(0), 1.4 * idle)
+            found.running = []
+
+    def test_a_report_lags(self):
+        # Guards against measurements under reports that are fresher than the platform's.
+        found = engine(load_lag=30.0)
+        found.start("s", body(400), [])
+        wait_for(lambda: found.report()["running"] == 1, "a running sequence")
+        self.assertEqual(found.load()["running"], 0)
+
+
+class Cache(unittest.TestCase):
+    def test_a_known_beginning_is_not_computed_again(self):
+        # Guards against a cache that is never hit, or hit by other prompts.
+        cache = PrefixCache()
+        first = Sequence("a", body(1, "p" * 1024), 0.0)
+        same = Sequence("b", body(1, "p" * 2048), 0.0)
+        other = Sequence("c", body(1, "q" * 2048), 0.0)
+        self.assertEqual([cache.join(seq) for seq in (first, same, other)], [0, 256, 0])
+
+    def test_blocks_of_ended_sequences_go_first_when_memory_fills(self):
+        # Guards against a cache that keeps everything for ever.
+        cache = PrefixCache()
+        first, second = (Sequence(name, body(1, name * 1024), 0.0) for name in "ab")
+        cache.join(first)
+        cache.join(second)
+        cache.leave(first)
+        cache.trim(0)
+        self.assertEqual((cache.join(first), cache.join(second)), (0, 256))
+
+
+if __name__ == "__main__":
+    unittest.main()
