Check class order by memory, and the cap of charges, more strictly

Run with the protection disabled, two tests had passed: without the class check in admission, since polling sorts by class anyway (a new arrival and a small batch request were not tried), and without credit for memory, since the smaller charges no longer filled the servers of the test. Both fail now.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -85,6 +85,17 @@
                     self.assertFalse([n for n in new if classes[n] == "batch"])
             classes[sim.arrive(request_class, 60.0, run_s)] = request_class
 
+    def test_small_batch_requests_do_not_pass_a_large_interactive_one(self):
+        # Guards against starvation: each bit of freed memory goes to a batch request that fits.
+        bench = Bench(random.Random(1), servers=1, memory=450)
+        first, second = bench.arrive(0.0, "interactive"), bench.arrive(0.0, "interactive")
+        large = bench.arrive(0.1, "interactive", max_tokens=3000)
+        self.assertTrue(bench.server(first) and bench.server(second))
+        self.assertEqual(bench.server(large), "")
+        self.assertEqual(bench.server(bench.arrive(0.2, max_tokens=1)), "")
+        bench.chain.finish(large, 0.3, bench.emit)
+        self.assertTrue(bench.server(bench.arrive(0.4, max_tokens=1)))
+
     def test_interactive_overtakes_waiting_batch(self):
         # Guards against one queue in order of arrival.
         bench = Bench(random.Random(1), servers=1, slots=1)
@@ -123,7 +134,7 @@
 
     def test_a_charge_fits_into_an_empty_server(self):
         # Guards against a request that waits for credit that no server can ever give.
-        bench = Bench(random.Random(1), servers=1, memory=300)
+        bench = Bench(random.Random(1), servers=1, memory=150)
         self.assertTrue(bench.server(bench.arrive(0.0, max_tokens=100000)))
 
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -42,7 +42,7 @@
     @given(STEPS, st.integers(0, 1000))
     def test_charges_exceed_grants_only_by_growth_and_are_given_back(self, steps, seed):
         # Guards against starting a request without credit and against leaked credit.
-        bench = Bench(random.Random(seed), servers=2, slots=20, memory=3000)
+        bench = Bench(random.Random(seed), servers=2, slots=20, memory=700)
         open_ids, now = random_run(bench, steps)
         for name in open_ids:
             bench.chain.finish(name, now, bench.emit)
