Replace all-to-all pings by SWIM

Cause: the simple membership pinged every listed VM each second (390^2 messages/s at the target size), knew nothing of VMs that the list did not show yet and had no suspicion, refutation or leaving mark.

One slot for each VM is ordered by incarnation, start id and state; the highest wins, so stale and replayed entries change nothing and a restarted VM replaces its old start id by outbidding it. Gossip of dead members stays out of full answers, so a healed partition does not declare the members of one side dead to their own neighbours.

Ruled out: a rule that a refuted suspicion waits for the next regular ping. Ruled out: resending beliefs on each Ack (endless exchange with a replaced process). Ruled out: tombstones for old start ids (unbounded; not needed with outbidding).

--- /dev/null
+++ b/src/lovageway/controllers/_view.py
@@ -0,0 +1,46 @@
+"""What follows from the members and the VM list; computed once for each change."""
+
+import hashlib
+from collections.abc import Collection, Iterable
+
+from lovageway.controllers._swim import DEAD, LEAVING, vm_of
+from lovageway.messages import Member
+
+MAX_OWNERS = 20000
+
+
+class View:
+    """Live daemons, majority contact and owners of resources.
+
+    Parameters
+    ----------
+    me
+        Own entry.
+    others
+        Entries of the other daemons.
+    listed
+        VM ids of the entry VMs in the VM list as last read.
+    """
+
+    def __init__(self, me: Member, others: Iterable[Member], listed: Collection[str]) -> None:
+        self.live = tuple(sorted([me, *(item for item in others if item.state != DEAD)]))
+        self._eligible = [item.node for item in self.live if item.state != LEAVING] or [me.node]
+        self._owners: dict[str, str] = {}
+        counted = {*listed, vm_of(me.node)}
+        live = {vm_of(member.node) for member in self.live}
+        self.majority = 2 * len(counted & live) > len(counted)
+
+    def owner(self, resource: str) -> str:
+        """Return the node id of the daemon that owns a shared resource."""
+        found = self._owners.get(resource)
+        if found is None:
+            found = max(self._eligible, key=lambda node: rendezvous_weight(node, resource))
+            if len(self._owners) >= MAX_OWNERS:
+                self._owners.clear()
+            self._owners[resource] = found
+        return found
+
+
+def rendezvous_weight(node: str, resource: str) -> bytes:
+    """Return the weight of a node for a resource; the highest weight owns it."""
+    return hashlib.blake2b(f"{node}|{resource}".encode(), digest_size=8).digest()
--- a/src/lovageway/daemon.py
+++ b/src/lovageway/daemon.py
@@ -133,7 +133,7 @@
 
     def _options(self) -> Options:
         cfg = self._cfg
-        return Options(cfg.routing.policy, cfg.platform.weight_loads_per_s)
+        return Options(cfg.routing.policy, cfg.platform.weight_loads_per_s, cfg.daemon.seeds)
 
     async def _tick(self) -> None:
         while True:
--- a/src/lovageway/messages.py
+++ b/src/lovageway/messages.py
@@ -4,13 +4,17 @@
 `decode` checks every field against its type, so a malformed message never reaches a controller.
 """
 
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 
 import msgpack  # type: ignore[import-untyped]
 import msgspec
 
 MAX_MESSAGE_BYTES = 1 << 20
 
+Natural = Annotated[int, msgspec.Meta(ge=0)]
+# The upper bound keeps infinity out; the lower one also keeps NaN out.
+Age = Annotated[float, msgspec.Meta(ge=-1, le=1e12)]
+
 
 class Member(NamedTuple):
     """What one daemon says of another."""
@@ -19,32 +23,32 @@
     address: str  # callers connect here
     peer_address: str
     zone: str
-    incarnation: int
+    incarnation: Natural
     state: str  # "live", "suspect", "dead" or "leaving"
 
 
 class Ping(NamedTuple):
     """Asks whether a daemon is live and tells what the sender knows."""
 
-    seq: int
-    version: int  # of the sender's configuration
-    freshness_s: float  # age since the table service had no higher version; -1: unknown
+    seq: Natural
+    version: Natural  # of the sender's configuration
+    freshness_s: Age  # age since the table service had no higher version; -1: unknown
     members: tuple[Member, ...]
 
 
 class Ack(NamedTuple):
     """Answers Ping."""
 
-    seq: int
-    version: int
-    freshness_s: float
+    seq: Natural
+    version: Natural
+    freshness_s: Age
     members: tuple[Member, ...]
 
 
 class PingRequest(NamedTuple):
     """Asks a third daemon to ping a silent one."""
 
-    seq: int
+    seq: Natural
     target: str  # peer address
 
 
@@ -54,6 +58,16 @@
     member: Member
 
 
+class MemberPull(NamedTuple):
+    """Asks for all members that are not dead; answered by Members."""
+
+
+class Members(NamedTuple):
+    """One page of the members that the sender knows."""
+
+    members: tuple[Member, ...]
+
+
 class LogEntry(NamedTuple):
     """One accepted configuration change; version N applies only on version N - 1."""
 
@@ -194,6 +208,8 @@
     | StreamResumed
     | HandoverRequest
     | Handover
+    | MemberPull
+    | Members
 )
 
 KINDS: tuple[type[Message], ...] = (
@@ -211,6 +227,8 @@
     StreamResumed,
     HandoverRequest,
     Handover,
+    MemberPull,
+    Members,
 )
 _NUMBERS = {kind: number for number, kind in enumerate(KINDS)}
 
--- a/src/lovageway/metrics.py
+++ b/src/lovageway/metrics.py
@@ -18,6 +18,9 @@
     "grant_lines": ("Lines of grants sent to holders.", ()),
     "limited": ("Requests refused or delayed by a limit of their contract.", ("part",)),
     "server_news": ("Reports on start identities and overload sent to owners.", ()),
+    "member_changes": ("Members that took a new state.", ("state",)),
+    "member_entries_rejected": ("Member entries that were malformed or too many.", ()),
+    "refutations": ("Wrong entries about this daemon that it refuted.", ()),
     "peer_errors": ("Peer connections dropped or messages lost.", ("reason",)),
 }
 
--- a/src/lovageway/node.py
+++ b/src/lovageway/node.py
@@ -55,6 +55,7 @@
 
     policy: PolicyName = "memory"  # how to choose among servers; the others are baselines
     weight_loads_per_s: float = 1.0  # what the weight store allows
+    seeds: tuple[str, ...] = ()  # peer addresses to contact while the VM list does not help
 
 
 DEFAULT_OPTIONS = Options()
@@ -77,7 +78,7 @@
         self, identity: Identity, rng: random.Random, options: Options = DEFAULT_OPTIONS
     ) -> None:
         self.configuration = Configuration()
-        self.membership = Membership(identity, rng, self.configuration.status)
+        self.membership = Membership(identity, rng, self.configuration.status, options.seeds)
         self.shares = Shares(self.membership)
         self.backends = Backends(self.membership, self.configuration, self.shares)
         self.shares.register("account", AccountLimits(self.configuration))
@@ -237,7 +238,7 @@
 
     @_on.register
     def _(self, event: VmListRead, now: float) -> None:
-        self.membership.on_vm_list(event.vms)
+        self.membership.on_vm_list(event.vms, now)
 
     @_on.register
     def _(self, event: LoadRead, now: float) -> None:
--- a/src/lovageway/settings.py
+++ b/src/lovageway/settings.py
@@ -24,6 +24,9 @@
     listen: HostPort = Field("127.0.0.1:0", description="Callers' listener.")
     peer_listen: HostPort = Field("127.0.0.1:0", description="Listener for other daemons.")
     operator_listen: HostPort = Field("127.0.0.1:0", description="Operators' listener.")
+    seeds: tuple[HostPort, ...] = Field(
+        (), max_length=16, description="Peer listeners to contact in addition to the VM list."
+    )
     worker_threads: int = Field(
         200, ge=4, le=2000, description="Requests served at the same time by this daemon."
     )
