Add discovery and a planned stop that interrupts nothing

Cause: callers could not ask which daemons to use, and SIGTERM stopped a daemon as soon as it was idle for an instant, refused nothing and cut answers that were still being written after 5 s.

Discovery lists home daemons of the account first, rotated by a hash of the caller, then by zone and region, at most 32. Background writes that were handed to the pool are carried out before the exit (they were cancelled).

Ruled out: rotating by account alone (all callers of one large account start at the same daemon; the test of its spread fails).

--- a/src/lovageway/adapters/_http.py
+++ b/src/lovageway/adapters/_http.py
@@ -71,6 +71,8 @@
     server.max_request_body_size = MAX_BODY_BYTES
     server.timeout = SOCKET_TIMEOUT_S
     server.request_queue_size = BACKLOG
-    server.shutdown_timeout = 5
+    # A worker that is still writing a whole answer must not be cut off by a planned stop. A caller
+    # that no longer reads ends its worker by the socket's timeout.
+    server.shutdown_timeout = None
     server.on_refusal = on_refusal
     return server
--- a/src/lovageway/adapters/callers.py
+++ b/src/lovageway/adapters/callers.py
@@ -5,6 +5,7 @@
 import secrets
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from typing import Any
+from urllib.parse import parse_qs
 
 from lovageway import resume
 from lovageway.adapters._http import MAX_BODY_BYTES
@@ -12,6 +13,7 @@
 from lovageway.adapters.engines import Engines
 from lovageway.adapters.services import PlainServices
 from lovageway.codes import Code, Refusal
+from lovageway.controllers.discovery import TTL_S
 from lovageway.events import Request
 from lovageway.exchange import Exchange, Part
 from lovageway.model import Contract
@@ -85,6 +87,8 @@
                 return self._call(environ, request_id, respond, service, name)
             case "GET", ["v1", "models"]:
                 return self._models(environ, respond)
+            case "GET", ["v1", "discovery"]:
+                return self._discover(environ, respond)
         raise BadRequestError(Refusal(Code.UNKNOWN_METHOD, f"{method} {path[:80]}."))
 
     def _contract(self, environ: Environ) -> Contract:
@@ -94,6 +98,18 @@
             raise BadRequestError(Refusal(Code.UNKNOWN_KEY))
         return contract
 
+    def _discover(self, environ: Environ, respond: Responder) -> Iterable[bytes]:
+        query = parse_qs(environ.get("QUERY_STRING", ""))
+        service, zone = (query.get(name, [""])[-1] for name in ("service", "zone"))
+        if not service:
+            raise BadRequestError(Refusal(Code.MALFORMED, "Name a service: ?service=S."))
+        caller = f"{environ.get('REMOTE_ADDR')}:{environ.get('REMOTE_PORT')}"
+        key = _api_key(environ)
+        found = self._runtime.read(lambda node, now: node.discover(key, service, zone, caller))
+        if found.is_error():
+            return respond.refuse(found.error)
+        return respond.json(200, {"addresses": found.ok, "ttl_s": TTL_S}, [])
+
     def _models(self, environ: Environ, respond: Responder) -> Iterable[bytes]:
         contract = self._contract(environ)
         services = self._runtime.read(lambda node, now: node.configuration.snapshot.services)
--- a/src/lovageway/codes.py
+++ b/src/lovageway/codes.py
@@ -148,6 +148,7 @@
     detail: str = ""
     retry_after_s: float | None = None
     ran: Ran | None = None  # overrides the table where this case is known better
+    addresses: tuple[str, ...] = ()  # daemons to use instead
 
     @property
     def effect(self) -> Ran:
@@ -158,12 +159,13 @@
         """Return the body of the error response."""
         info = INFO[self.code]
         message = f"{info.meaning} {self.detail}".strip()
-        return {
-            "error": {
-                "code": int(self.code),
-                "name": self.code.name,
-                "message": f"{message} {info.remedy}",
-                "ran": self.effect,
-                "retry_after_s": self.retry_after_s,
-            }
+        error = {
+            "code": int(self.code),
+            "name": self.code.name,
+            "message": f"{message} {info.remedy}",
+            "ran": self.effect,
+            "retry_after_s": self.retry_after_s,
         }
+        if self.addresses:
+            error["addresses"] = self.addresses
+        return {"error": error}
--- /dev/null
+++ b/src/lovageway/controllers/discovery.py
@@ -0,0 +1,117 @@
+"""Which daemons a caller should use, in order of preference."""
+
+import hashlib
+import math
+from collections.abc import Sequence
+
+from lovageway.controllers._view import rendezvous_weight
+from lovageway.controllers.configuration import Configuration
+from lovageway.controllers.membership import Membership
+from lovageway.messages import Member
+from lovageway.model import Contract
+
+TTL_S = 5  # callers keep an answer for this long
+MAX_ADDRESSES = 32  # an answer with all 390 daemons would have 8 KB
+MAX_HOMES_KEPT = 20000
+# What one daemon carries of one account before it needs a further home daemon; the figures are the
+# load of one daemon at the target size, and half of the default of `worker_threads`.
+REQUESTS_PER_HOME = 64.0
+STREAMS_PER_HOME = 100
+TOKENS_PER_HOME = 14000.0
+
+
+class Discovery:
+    """Answers callers from the member list and the configuration; keeps no state of its own."""
+
+    def __init__(self, membership: Membership, configuration: Configuration) -> None:
+        self._membership = membership
+        self._configuration = configuration
+        self._seen = (-1, -1)
+        self._usable: tuple[Member, ...] = ()
+        self._homes: dict[str, tuple[Member, ...]] = {}
+        self._groups: dict[str, list[list[Member]]] = {}
+
+    def addresses(self, contract: Contract | None, caller: str, zone: str = "") -> tuple[str, ...]:
+        """Return the callers' addresses of the daemons to use.
+
+        Parameters
+        ----------
+        contract
+            The account's; its home daemons come first. None: no account is known.
+        caller
+            Any text that differs between callers; the order is rotated by its hash.
+        zone
+            Where the caller is, "" for the zone of this daemon.
+        """
+        self._refresh()
+        homes = self._home(contract) if contract else ()
+        rotation = _hash(f"{contract.account if contract else ''}|{caller}")
+        chosen = _rotate(homes, rotation)
+        for group in self._by_distance(zone or self._membership.identity.zone):
+            chosen += _rotate([item for item in group if item not in homes], rotation)
+        return tuple(member.address for member in chosen[:MAX_ADDRESSES])
+
+    def _refresh(self) -> None:
+        snapshot = self._configuration.snapshot
+        seen = (self._membership.epoch, snapshot.version)
+        if seen == self._seen:
+            return
+        self._seen = seen
+        self._homes.clear()
+        self._groups.clear()
+        closed = {zone.name for zone in snapshot.zones.values() if not zone.enabled}
+        self._usable = tuple(
+            member
+            for member in self._membership.live()
+            if member.state != "leaving"
+            and member.zone not in closed
+            and not self._membership.listed_leaving(member.node)
+        )
+
+    def _home(self, contract: Contract) -> tuple[Member, ...]:
+        found = self._homes.get(contract.account)
+        if found is None:
+            by_weight = sorted(
+                self._usable,
+                key=lambda member: rendezvous_weight(member.node, f"home:{contract.account}"),
+                reverse=True,
+            )
+            found = tuple(by_weight[: homes_needed(contract)])
+            if len(self._homes) >= MAX_HOMES_KEPT:
+                self._homes.clear()
+            self._homes[contract.account] = found
+        return found
+
+    def _by_distance(self, zone: str) -> list[list[Member]]:
+        """Return the usable daemons of the zone, of its region and of the rest."""
+        if zone in self._groups:
+            return self._groups[zone]
+        zones = self._configuration.snapshot.zones
+        region = zones[zone].region if zone in zones else None
+        groups: list[list[Member]] = [[], [], []]
+        for member in self._usable:
+            other = zones.get(member.zone)
+            same_region = region is not None and other is not None and other.region == region
+            groups[0 if member.zone == zone else 1 if same_region else 2].append(member)
+        if zone in zones:  # names from callers are unbounded
+            self._groups[zone] = groups
+        return groups
+
+
+def homes_needed(contract: Contract) -> int:
+    """Return the number of home daemons of an account: what its limits need, and one to spare."""
+    need = max(
+        contract.requests_per_s / REQUESTS_PER_HOME,
+        contract.concurrency / STREAMS_PER_HOME,
+        contract.tokens_per_s / TOKENS_PER_HOME,
+    )
+    return math.ceil(min(need, MAX_ADDRESSES)) + 1
+
+
+def _rotate(members: Sequence[Member], by: int) -> list[Member]:
+    start = by % len(members) if members else 0
+    return [*members[start:], *members[:start]]
+
+
+def _hash(text: str) -> int:
+    return int.from_bytes(hashlib.blake2b(text.encode(errors="replace"), digest_size=8).digest())
--- a/src/lovageway/daemon.py
+++ b/src/lovageway/daemon.py
@@ -1,6 +1,7 @@
 """Builds a daemon from its settings, runs it and stops it."""
 
 import asyncio
+import contextlib
 import json
 import random
 import secrets
@@ -93,12 +94,14 @@
             self._loop.add_signal_handler(sig, lambda: self._runtime.submit(StopRequested()))
         ticks = asyncio.ensure_future(self._tick())
         await self._stopped.wait()
-        ticks.cancel()
+        # Requests that arrive from here on are still answered, with a refusal.
         for server in self._servers:
             await asyncio.to_thread(server.stop)
-        await self._peers.close()
-        self._pool.shutdown(wait=False, cancel_futures=True)
+        ticks.cancel()
         self._load_pool.shutdown(wait=False, cancel_futures=True)
+        # Writes to the table service that were handed over before are carried out.
+        await asyncio.to_thread(self._pool.shutdown)
+        await self._peers.close()
 
     def _listen(self, start_id: str) -> None:
         """Bind the listeners, build the node and print the addresses as one line of JSON."""
@@ -157,7 +160,9 @@
                 # A future nobody waits for would hide the error.
                 log.exception("background_call_failed")
 
-        self._pool.submit(run)
+        # While the daemon stops, the pool takes nothing new.
+        with contextlib.suppress(RuntimeError):
+            self._pool.submit(run)
 
     @singledispatchmethod
     def _perform(self, effect: Effect) -> None:
--- a/src/lovageway/node.py
+++ b/src/lovageway/node.py
@@ -5,11 +5,15 @@
 from functools import singledispatchmethod
 from typing import NamedTuple
 
+from expression import Error, Ok, Result
+
 from lovageway.chain import Chain, Context
 from lovageway.codes import Code, Refusal
 from lovageway.controllers.backends import Backends
 from lovageway.controllers.base import Controller
 from lovageway.controllers.configuration import Configuration
+from lovageway.controllers.discovery import Discovery
+from lovageway.controllers.drain import Drain
 from lovageway.controllers.lengths import Lengths
 from lovageway.controllers.membership import Membership
 from lovageway.controllers.orders import Orders
@@ -30,7 +34,6 @@
     Refuse,
     RequestArrived,
     StartAttempt,
-    Stopped,
     StopRequested,
     TableAnswered,
     Tick,
@@ -84,12 +87,15 @@
         self.shares.register("account", AccountLimits(self.configuration))
         self.shares.register("server", self.backends)
         self.lengths = Lengths()
+        self.discovery = Discovery(self.membership, self.configuration)
+        self.drain = Drain(self.membership)
         self._controllers: dict[str, Controller] = {
             "membership": self.membership,
             "configuration": self.configuration,
             "backends": self.backends,
             "shares": self.shares,
             "lengths": self.lengths,
+            "drain": self.drain,
         }
         self.streams = Streams(self.membership)
         self._controllers["streams"] = self.streams
@@ -102,7 +108,7 @@
         self._controllers["orders"] = self.orders
         self._attempt = Attempt()
         self.authenticate = Authenticate(self.configuration)
-        readiness = Readiness(self.configuration)
+        readiness = Readiness(self.configuration, self.drain, self.discovery)
         self._resumes = Chain(
             [readiness, self.authenticate, Resumption(self.membership, self.streams)]
         )
@@ -122,7 +128,6 @@
         )
         self._history: OrderedDict[str, list[dict[str, object]]] = OrderedDict()
         self._effects: list[Effect] = []
-        self._stopping = False
 
     def handle(self, event: Event, now: float) -> list[Effect]:
         """Return the effects of an event at the time `now` (seconds, monotonic)."""
@@ -146,6 +151,19 @@
         """Return what was decided about a recent request, oldest first."""
         return list(self._history.get(request_id, ()))
 
+    def discover(
+        self, api_key: str, service: str, zone: str, caller: str
+    ) -> Result[tuple[str, ...], Refusal]:
+        """Return the addresses that the key's account should use for a service."""
+        if not self.configuration.ready():
+            return Error(Refusal(Code.STARTING, retry_after_s=1.0))
+        contract = self.authenticate.contract(api_key)
+        if contract is None:
+            return Error(Refusal(Code.UNKNOWN_KEY))
+        if service not in contract.services:
+            return Error(Refusal(Code.UNKNOWN_MODEL, f"Service: {service[:80]!r}."))
+        return Ok(self.discovery.addresses(contract, caller, zone))
+
     def _emit(self, effect: Effect) -> None:
         self._effects.append(effect)
 
@@ -167,7 +185,7 @@
             item.tick(now, self._emit)
         self.chain.poll(now, self._emit)
         self._release_ended(now)
-        self._finish_stop()
+        self.drain.finish(len(self.chain) + len(self._resumes), now, self._emit)
 
     @_on.register
     def _(self, event: RequestArrived, now: float) -> None:
@@ -255,11 +273,5 @@
 
     @_on.register
     def _(self, event: StopRequested, now: float) -> None:
-        self._emit(Count("stops"))
-        self._stopping = True
+        self.drain.begin(now, self._emit)
         self.orders.resign(now, self._emit)
-        self._finish_stop()
-
-    def _finish_stop(self) -> None:
-        if self._stopping and not len(self.chain) and not len(self._resumes):
-            self._emit(Stopped())
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,108 @@
+"""Discovery: who is in an answer, in which order, and how evenly callers spread."""
+
+import random
+import unittest
+from collections import Counter
+
+from lovageway.controllers.configuration import Configuration
+from lovageway.controllers.discovery import MAX_ADDRESSES, Discovery, homes_needed
+from lovageway.controllers.membership import Membership
+from lovageway.messages import Leaving, Member, Members
+from lovageway.model import Contract, Identity, Snapshot, Vm, Zone
+
+ZONES = {f"z{n}": Zone(f"z{n}", f"r{n % 3}") for n in range(10)}
+
+
+def contract(account, requests_per_s=10.0):
+    return Contract(account, (), ("crock-llm",), requests_per_s, 10, 1000.0)
+
+
+def daemon(number):
+    host = f"10.0.{number // 250}.{number % 250 + 1}"
+    return Member(f"e-{number}/a", f"{host}:80", f"{host}:70", f"z{number % 10}", 0, "live")
+
+
+class DiscoveryCase(unittest.TestCase):
+    def build(self, count, zones=ZONES):
+        own = daemon(0)
+        ident = Identity("e-0", "a", own.zone, own.address, own.peer_address)
+        self.membership = Membership(ident, random.Random(1), lambda now: (1, 0.0))
+        for start in range(1, count, 50):
+            page = Members(tuple(daemon(n) for n in range(start, min(start + 50, count))))
+            self.membership.on_message("e-1/a", "10.0.0.2:70", page, 0.0, lambda effect: None)
+        self.configuration = Configuration()
+        self.configuration.snapshot = Snapshot(1, {}, {}, zones, {})
+        return Discovery(self.membership, self.configuration)
+
+
+class Answers(DiscoveryCase):
+    def test_a_leaving_daemon_is_dropped_at_once(self):
+        # Guards against callers that are sent to a daemon about to stop.
+        found = self.build(8)
+        self.assertIn(daemon(3).address, found.addresses(contract("a"), "c"))
+        leaving = Leaving(daemon(3)._replace(incarnation=1, state="leaving"))
+        self.membership.on_message("e-3/a", "10.0.0.4:70", leaving, 1.0, lambda effect: None)
+        self.assertNotIn(daemon(3).address, found.addresses(contract("a"), "c"))
+        self.membership.leave(1.0, lambda effect: None)
+        self.assertNotIn(daemon(0).address, found.addresses(contract("a"), "c"))
+
+    def test_a_vm_that_the_list_marks_as_leaving_is_left_out(self):
+        # Guards against ignoring the platform's notice before the daemon's own.
+        found = self.build(4)
+        vm = Vm("e-2", "entry", "", "z2", daemon(2).address, daemon(2).peer_address, "leaving")
+        self.membership.on_vm_list((vm,), 1.0)
+        self.assertNotIn(daemon(2).address, found.addresses(contract("a"), "c"))
+
+    def test_daemons_of_a_zone_that_is_taken_out_are_left_out(self):
+        # Guards against new work in a zone that operators have taken out.
+        found = self.build(20)
+        zones = {**ZONES, "z4": ZONES["z4"]._replace(enabled=False)}
+        found.addresses(contract("a"), "c")
+        self.configuration.snapshot = Snapshot(2, {}, {}, zones, {})
+        for number in range(50):
+            answer = found.addresses(contract(f"a{number}"), f"c{number}")
+            self.assertNotIn(daemon(4).address, answer)
+            self.assertEqual(len(answer), 18)
+
+    def test_home_daemons_come_first_then_the_zone_then_the_region(self):
+        # Guards against cross-region traffic and against accounts that scatter over the fleet.
+        found = self.build(30)
+        zone_of = {daemon(n).address: daemon(n).zone for n in range(30)}
+        homes = set()
+        for caller in range(40):
+            answer = found.addresses(contract("a", 100.0), f"c{caller}", "z5")
+            count = homes_needed(contract("a", 100.0))
+            homes |= set(answer[:count])
+            rest = [zone_of[address] for address in answer[count:]]
+            distance = [0 if z == "z5" else 1 if ZONES[z].region == "r2" else 2 for z in rest]
+            self.assertEqual(distance, sorted(distance))
+            self.assertEqual(len(set(answer)), 30)
+        self.assertEqual(len(homes), 3)
+
+    def test_an_answer_is_bounded_at_the_target_size(self):
+        # Guards against answers of 8 KB for each caller every 5 s.
+        self.assertEqual(len(self.build(390).addresses(contract("a"), "c")), MAX_ADDRESSES)
+
+
+class Spread(DiscoveryCase):
+    def test_callers_of_many_accounts_spread_evenly(self):
+        # Guards against a daemon that is the first choice of far more callers than others.
+        found = self.build(390)
+        first = Counter(found.addresses(contract(f"a{n}"), "c")[0] for n in range(7700))
+        mean = 7700 / 390
+        # Independent choices have a standard deviation of sqrt(mean), 4.4; six of them are allowed.
+        self.assertLess(max(first.values()), mean + 6 * mean**0.5)
+        self.assertEqual(len(first), 390)
+
+    def test_callers_of_one_account_spread_over_its_home_daemons(self):
+        # Guards against one home daemon that takes all of a large account.
+        found = self.build(8)
+        large = contract("large", 300.0)
+        first = Counter(found.addresses(large, f"10.1.1.1:{n}")[0] for n in range(3000))
+        self.assertEqual(len(first), homes_needed(large))
+        for count in first.values():
+            self.assertAlmostEqual(count / 500, 1.0, delta=0.25)
+
+
+if __name__ == "__main__":
+    unittest.main()
