--- a/src/lovageway/daemon.py
+++ b/src/lovageway/daemon.py
@@ -87,7 +87,7 @@
         keys = [read_secret(path) for path in self._cfg.keys.peer_key_files]
         start_id = secrets.token_hex(4)
         node_id = f"{self._cfg.daemon.vm_id}/{start_id}"
-        self._peers = Peers(node_id, keys, self._receive, self._peer_error)
+        self._peers = Peers(node_id, keys, self._receive, self._peer_error, self._peer_traffic)
         await self._peers.listen(*_host_port(self._cfg.daemon.peer_listen))
         self._listen(start_id)
         for sig in (signal.SIGTERM, signal.SIGINT):
@@ -152,6 +152,10 @@
     def _peer_error(self, reason: str) -> None:
         self._metrics.add(Count("peer_errors", (reason,)))
 
+    def _peer_traffic(self, direction: str, size: int) -> None:
+        self._metrics.add(Count("peer_messages", (direction,)))
+        self._metrics.add(Count("peer_bytes", (direction,), size))
+
     def _background(self, call: Callable[..., object], *args: object) -> None:
         def run() -> None:
             try:
--- a/src/lovageway/metrics.py
+++ b/src/lovageway/metrics.py
@@ -21,6 +21,8 @@
     "member_changes": ("Members that took a new state.", ("state",)),
     "member_entries_rejected": ("Member entries that were malformed or too many.", ()),
     "refutations": ("Wrong entries about this daemon that it refuted.", ()),
+    "peer_messages": ("Messages and handshakes between daemons.", ("direction",)),
+    "peer_bytes": ("Bytes of messages and handshakes between daemons.", ("direction",)),
     "peer_errors": ("Peer connections dropped or messages lost.", ("reason",)),
 }
 
