--- /dev/null
+++ b/bench/membership.py
@@ -0,0 +1,176 @@
+"""Cost of control work and time to notice a failure, with real daemons and no back ends.
+
+Starts N `lovageway serve` processes on loopback for each size, lets them find each other, and
+measures one idle window: messages and bytes from the daemons' own counters, CPU time and memory
+from the kernel. Then it kills one daemon and starts a new one, and reads every member list until
+all daemons agree. The slope over the sizes gives the figure at the target size.
+
+Bytes are those of frames and handshakes, without the headers of TCP and IP. CPU time is that of
+the whole process: ticks, VM list, table reads and peers.
+"""
+
+import argparse
+import os
+import re
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from tests.builders import JAR_ZONES, jar_returns_rows
+from tests.fleet import Fleet, http
+
+TARGET = 390
+TARGETS = {"bytes_s": 4096.0, "cpu_percent": 1.4, "rss_mb": 32.0}
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+def parse():
+    found = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    found.add_argument("--sizes", type=int, nargs="+", default=[8, 16, 32])
+    found.add_argument("--window", type=float, default=20.0, help="Idle window in seconds.")
+    found.add_argument("--limit", type=float, default=60.0, help="Longest wait for agreement.")
+    return found.parse_args()
+
+
+def counters(fleet, process):
+    """Return the peer counters of a daemon by name and direction."""
+    headers = {"Authorization": f"Bearer {fleet.operator_key}"}
+    url = f"http://{process.addresses['operator_listen']}/metrics"
+    text = http.request("GET", url, headers=headers).data.decode()
+    pattern = r'^lovageway_peer_(\w+)_total\{direction="(\w+)"\} (\S+)$'
+    return {(name, way): float(n) for name, way, n in re.findall(pattern, text, re.MULTILINE)}
+
+
+def cpu_s(process):
+    """Return the CPU seconds that a process has used."""
+    with open(f"/proc/{process.popen.pid}/stat") as file:
+        fields = file.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
+
+def rss_mb(process):
+    """Return resident memory and the part of it that is private to the process."""
+    with open(f"/proc/{process.popen.pid}/smaps_rollup") as file:
+        sizes = dict(re.findall(r"^(\w+):\s+(\d+) kB$", file.read(), re.MULTILINE))
+    private = int(sizes["Private_Clean"]) + int(sizes["Private_Dirty"])
+    return int(sizes["Rss"]) / 1024, private / 1024
+
+
+def connections(process):
+    """Return the number of open sockets of a process."""
+    names = os.listdir(f"/proc/{process.popen.pid}/fd")
+    links = []
+    for name in names:
+        try:
+            links.append(os.readlink(f"/proc/{process.popen.pid}/fd/{name}"))
+        except OSError:
+            continue
+    return sum(link.startswith("socket:") for link in links)
+
+
+def live_sets(fleet, names):
+    """Return the live VM ids as each named daemon sees them."""
+
+    def read(name):
+        dump = fleet.admin(fleet.daemons[name], "/admin/dump")
+        return {member["node"].partition("/")[0] for member in dump["membership"]["live"]}
+
+    with ThreadPoolExecutor(8) as pool:
+        return list(pool.map(read, names))
+
+
+def until_all(fleet, names, condition, limit_s):
+    """Return the seconds until `condition(live)` holds on all named daemons, None if never."""
+    begun = time.monotonic()
+    while time.monotonic() - begun < limit_s:
+        if all(condition(live) for live in live_sets(fleet, names)):
+            return time.monotonic() - begun
+        time.sleep(0.05)
+    return None
+
+
+def idle_window(fleet, window_s):
+    """Return the cost of each daemon over a window."""
+    before = {name: (counters(fleet, p), cpu_s(p)) for name, p in fleet.daemons.items()}
+    begun = time.monotonic()
+    time.sleep(window_s)
+    took = time.monotonic() - begun
+    costs = []
+    for name, process in fleet.daemons.items():
+        spent = cpu_s(process) - before[name][1]
+        now, old = counters(fleet, process), before[name][0]
+        used = {key: (now[key] - old.get(key, 0.0)) / took for key in now}
+        sent = used.get(("bytes", "sent"), 0.0) + used.get(("bytes", "handshake"), 0.0)
+        rss, private = rss_mb(process)
+        costs.append(
+            {
+                "messages_s": used.get(("messages", "sent"), 0.0),
+                "handshakes_s": used.get(("messages", "handshake"), 0.0),
+                "bytes_s": sent,
+                "cpu_percent": 100 * spent / took,
+                "rss_mb": rss,
+                "private_mb": private,
+                "sockets": float(connections(process)),
+            }
+        )
+    return costs
+
+
+def measure(count, args):
+    """Return mean and largest cost for a fleet of `count`, and the times until all agree."""
+    with Fleet() as fleet:
+        for number in range(count):
+            fleet.daemon(f"entry-{number}", JAR_ZONES[number % 3])
+        fleet.write_configuration(jar_returns_rows())
+        fleet.publish_vms()
+        names = list(fleet.daemons)
+        joined = until_all(fleet, names, lambda live: live == set(names), args.limit)
+        time.sleep(10)  # gossip of the start has ended
+        costs = idle_window(fleet, args.window)
+        # A new daemon that the VM list does not show yet, as the list lags.
+        seeds = [fleet.daemons[names[0]].addresses["peer_listen"]]
+        fleet.daemon("entry-new", JAR_ZONES[0], seeds=seeds)
+        new = until_all(fleet, [*names, "entry-new"], lambda live: len(live) > count, args.limit)
+        fleet.daemons[names[-1]].popen.kill()
+        rest = [*names[:-1], "entry-new"]
+        dead = until_all(fleet, rest, lambda live: names[-1] not in live, args.limit)
+    mean = {key: sum(cost[key] for cost in costs) / count for key in costs[0]}
+    top = {key: max(cost[key] for cost in costs) for key in costs[0]}
+    return mean, top, {"joined_s": joined, "new_s": new, "dead_s": dead}
+
+
+def fit(sizes, values):
+    """Return intercept and slope of the least squares line."""
+    mean_x, mean_y = sum(sizes) / len(sizes), sum(values) / len(values)
+    spread = sum((x - mean_x) ** 2 for x in sizes)
+    pairs = zip(sizes, values, strict=True)
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in pairs) / spread if spread else 0.0
+    return mean_y - slope * mean_x, slope
+
+
+def main():
+    args = parse()
+    print(f"sizes {args.sizes}, window {args.window} s, {os.cpu_count()} cores, no back ends")
+    print("random numbers: seeded by the kernel, so that runs differ")
+    means = []
+    for count in args.sizes:
+        load = os.getloadavg()[0]
+        mean, top, times = measure(count, args)
+        means.append(mean)
+        print(f"\n{count} daemons (load average before {load:.1f})")
+        for key in mean:
+            print(f"  {key:13} mean {mean[key]:10.2f}   largest {top[key]:10.2f}")
+        for key, value in times.items():
+            print(f"  {key:13} {'not within the limit' if value is None else f'{value:.2f}'}")
+    print(f"\n{'':13} {'base':>10} {'per daemon':>12} {f'at {TARGET}':>10} {'target':>10}")
+    for key in means[0]:
+        base, slope = fit(args.sizes, [mean[key] for mean in means])
+        target = TARGETS.get(key)
+        shown = "" if target is None else f"{target:10.1f}"
+        print(f"{key:13} {base:10.2f} {slope:12.4f} {base + slope * TARGET:10.2f} {shown}")
+    print("baseline: all-to-all heartbeats at the same frame size and 1 s interval would send")
+    frame = sum(m["bytes_s"] / max(m["messages_s"], 0.01) for m in means) / len(means)
+    print(f"{frame * (TARGET - 1):.0f} B/s from each of {TARGET} daemons")
+
+
+if __name__ == "__main__":
+    main()
