--- a/bench/membership.py
+++ b/bench/membership.py
@@ -10,16 +10,19 @@
 """
 
 import argparse
+import json
 import os
 import re
 import time
 from concurrent.futures import ThreadPoolExecutor
 
+import urllib3
 from tests.builders import JAR_ZONES, jar_returns_rows
-from tests.fleet import Fleet, http
+from tests.fleet import Fleet
 
 TARGET = 390
 TARGETS = {"bytes_s": 4096.0, "cpu_percent": 1.4, "rss_mb": 32.0}
+POOL = urllib3.PoolManager(num_pools=64, maxsize=8, retries=2, timeout=urllib3.Timeout(30.0))
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
@@ -31,11 +34,17 @@
     return found.parse_args()
 
 
+def read(fleet, process, path):
+    """Return a page of the operators' interface; a kept-alive connection may just have expired."""
+    headers = {"Authorization": f"Bearer {fleet.operator_key}"}
+    return POOL.request(
+        "GET", f"http://{process.addresses['operator_listen']}{path}", headers=headers
+    ).data
+
+
 def counters(fleet, process):
     """Return the peer counters of a daemon by name and direction."""
-    headers = {"Authorization": f"Bearer {fleet.operator_key}"}
-    url = f"http://{process.addresses['operator_listen']}/metrics"
-    text = http.request("GET", url, headers=headers).data.decode()
+    text = read(fleet, process, "/metrics").decode()
     pattern = r'^lovageway_peer_(\w+)_total\{direction="(\w+)"\} (\S+)$'
     return {(name, way): float(n) for name, way, n in re.findall(pattern, text, re.MULTILINE)}
 
@@ -70,12 +79,12 @@
 def live_sets(fleet, names):
     """Return the live VM ids as each named daemon sees them."""
 
-    def read(name):
-        dump = fleet.admin(fleet.daemons[name], "/admin/dump")
+    def look(name):
+        dump = json.loads(read(fleet, fleet.daemons[name], "/admin/dump"))
         return {member["node"].partition("/")[0] for member in dump["membership"]["live"]}
 
     with ThreadPoolExecutor(8) as pool:
-        return list(pool.map(read, names))
+        return list(pool.map(look, names))
 
 
 def until_all(fleet, names, condition, limit_s):
