--- a/src/lovageway/daemon.py
+++ b/src/lovageway/daemon.py
@@ -158,12 +158,8 @@
         )
 
     async def _tick(self) -> None:
-        messages = sent = 0
         while True:
             self._runtime.submit(Tick())
-            self._metrics.add(Count("peer_messages", amount=self._peers.messages_sent - messages))
-            self._metrics.add(Count("peer_bytes", amount=self._peers.bytes_sent - sent))
-            messages, sent = self._peers.messages_sent, self._peers.bytes_sent
             await asyncio.sleep(TICK_S)
 
     def _receive(self, sender: str, address: str, message: Message) -> None:
--- /dev/null
+++ b/tests/streams.py
@@ -0,0 +1,47 @@
+"""A streamed completion as its caller reads it."""
+
+import json
+
+from tests.fleet import http
+
+KEY = {"Authorization": "Bearer clerks-key"}
+
+
+class Stream:
+    """One streamed completion as a caller sees it."""
+
+    def __init__(self, address, path, body, headers=()):
+        url = f"http://{address}{path}"
+        headers = {**KEY, **dict(headers)}
+        self.resp = http.request("POST", url, json=body, headers=headers, preload_content=False)
+        self.text, self.error, self.token, self.last_id = "", None, None, None
+        self.done = False
+        self.lines = iter(self.resp)
+
+    def read(self, tokens=None):
+        """Read until the end, or until `tokens` tokens have come."""
+        for line in self.lines:
+            if line.startswith(b"id: "):
+                self.last_id = line[4:].decode().strip()
+            elif line.startswith(b"data: [DONE]"):
+                self.done = True
+            elif line.startswith(b"data: "):
+                self._event(json.loads(line[6:]))
+            if tokens is not None and len(self.words()) >= tokens:
+                break
+        return self
+
+    def _event(self, event):
+        self.error = event.get("error", self.error)
+        self.token = event.get("resume_token", self.token)
+        if "choices" in event:
+            self.text += event["choices"][0]["text"]
+
+    def words(self):
+        return self.text.split()
+
+    def offsets(self):
+        return [int(word.rpartition(":")[2]) for word in self.words()]
+
+    def generations(self):
+        return {word.rpartition(":")[0] for word in self.words()}
