--- /dev/null
+++ b/bench/polls.py
@@ -0,0 +1,56 @@
+"""CPU of one idle daemon that owns 4, 8 and 16 backend servers: ``python -m bench.polls``.
+
+The owner reads each server's load report twice a second. The baseline is the same daemon without
+servers, in the same run.
+"""
+
+import argparse
+import os
+import time
+from pathlib import Path
+
+from tests.builders import jar_returns_rows
+from tests.fleet import Fleet
+
+TICKS = os.sysconf("SC_CLK_TCK")
+SETTLE_S = 3.0
+
+
+def cpu_s(pid):
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS
+
+
+def rss_mb(pid):
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    return next(int(line.split()[1]) / 1024 for line in lines if line.startswith("VmRSS"))
+
+
+def measure(servers, seconds):
+    with Fleet() as fleet:
+        for number in range(servers):
+            fleet.backend(f"counter-{number}", "counter-app", "khangai", "plain")
+        daemon = fleet.daemon("entry-0", "khangai")
+        fleet.write_configuration(jar_returns_rows())
+        fleet.publish_vms()
+        fleet.wait_ready()
+        time.sleep(SETTLE_S)
+        before = cpu_s(daemon.popen.pid)
+        time.sleep(seconds)
+        used = cpu_s(daemon.popen.pid) - before
+        return 100 * used / seconds, rss_mb(daemon.popen.pid)
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seconds", type=float, default=15.0)
+    args = parser.parse_args()
+    print(f"{vars(args)}, load average {os.getloadavg()[0]:.1f}")
+    print("| servers owned | CPU % of a core | RSS MB |\n|---|---|---|")
+    for servers in (0, 4, 8, 16):
+        cpu, rss = measure(servers, args.seconds)
+        print(f"| {servers} | {cpu:.2f} | {rss:.1f} |", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/zones.py
@@ -0,0 +1,121 @@
+"""Service while an availability zone leaves and returns: ``python -m bench.zones --help``.
+
+Real daemons, seeded open-loop arrivals. The baseline is the time before the zone leaves in the same
+run. An operator takes the zone out and brings it back through one daemon.
+"""
+
+import argparse
+import json
+import os
+import subprocess
+import sys
+import time
+
+from tests.fleet import Fleet, post
+
+from bench.workload import DEPLOYMENTS, arrivals, start
+
+START_DELAY_S = 2.0
+GRACE_S = 3.0  # from acceptance until no server of the zone may receive new work
+DRAIN_S = 15.0
+CLIENTS = 2
+
+
+def starts(fleet, zone):
+    """Return how many generations the zone's engines have started."""
+    addresses = [
+        vm["address"]
+        for vm in fleet.vms.values()
+        if vm["zone"] == zone and vm["service"] in ("crock-llm", "gatesense-lm")
+    ]
+    return sum(post(address, "/control", {})["starts"] for address in addresses)
+
+
+def set_zone(fleet, zone, enabled):
+    """Take the zone out or bring it back and return the seconds until it was accepted."""
+    began = time.monotonic()
+    value = {"name": zone, "region": zone, "enabled": enabled}
+    daemon = next(iter(fleet.daemons.values()))
+    status, answer = fleet.apply(daemon, f"zone-{enabled}", {f"zone/{zone}": value})
+    if status != 200:
+        raise RuntimeError(answer)
+    return time.monotonic() - began
+
+
+def wait_until(moment):
+    time.sleep(max(0.0, moment - time.monotonic()))
+
+
+def run_clients(fleet, dep, plan, begin, end_s):
+    shared = {"plain": dep.plain, "engine": dep.engine, "start": begin, "end_s": end_s}
+    shared["daemons"] = [item.address for item in fleet.daemons.values()]
+    clients = []
+    for number in range(CLIENTS):
+        part = [item._asdict() for item in plan[number::CLIENTS]]
+        command = [sys.executable, "-m", "bench.client"]
+        client = subprocess.Popen(command, stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+        client.stdin.write(json.dumps({**shared, "arrivals": part}).encode())
+        client.stdin.close()
+        clients.append(client)
+    return clients
+
+
+def percentile(values, part):
+    values = sorted(values)
+    return values[int(len(values) * part)] * 1000 if values else float("nan")
+
+
+def table(results, phases):
+    print("| phase | kind | offered | done | refused | other | tok/s | gap p50 | gap p99 |", end="")
+    print(" first p99 |\n|---|---|---|---|---|---|---|---|---|---|")
+    for name, (begin, end) in phases.items():
+        for kind in ("long", "short", "call"):
+            found = [r for r in results if r["kind"] == kind and begin <= r["at"] < end]
+            done = [r for r in found if r["outcome"] == "done"]
+            refused = [r for r in found if r["outcome"].isupper()]
+            gaps = [gap for r in found for gap in r["gaps"]]
+            first = [r["first_s"] for r in found if r["first_s"] is not None]
+            tokens = sum(r["tokens"] for r in found) / (end - begin)
+            print(
+                f"| {name} | {kind} | {len(found)} | {len(done)} | {len(refused)} |"
+                f" {len(found) - len(done) - len(refused)} | {tokens:.0f} |"
+                f" {percentile(gaps, 0.5):.1f} | {percentile(gaps, 0.99):.1f} |"
+                f" {percentile(first, 0.99):.1f} |"
+            )
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--deployment", choices=DEPLOYMENTS, default="gate")
+    parser.add_argument("--scale", type=float, default=0.6)
+    parser.add_argument("--seed", type=int, default=1)
+    args = parser.parse_args()
+    dep = DEPLOYMENTS[args.deployment]
+    zone = dep.zones[0]
+    phases = {"before": (8.0, 22.0), "zone out": (22.0, 36.0), "zone back": (36.0, 50.0)}
+    plan = arrivals(dep, 50.0, 3, args.seed, args.scale)
+    print(f"{vars(args)}, zone {zone}, phases {phases}, load average {os.getloadavg()[0]:.1f}")
+    with Fleet() as fleet:
+        start(fleet, dep, 3, "memory")
+        begin = time.monotonic() + START_DELAY_S
+        clients = run_clients(fleet, dep, plan, begin, 50.0 + DRAIN_S)
+        wait_until(begin + phases["zone out"][0])
+        accepted = set_zone(fleet, zone, False)
+        wait_until(time.monotonic() + GRACE_S)
+        late = starts(fleet, zone)
+        wait_until(begin + phases["zone back"][0])
+        late = starts(fleet, zone) - late
+        set_zone(fleet, zone, True)
+        before_return = starts(fleet, zone)
+        results = [item for client in clients for item in json.load(client.stdout)]
+        after = starts(fleet, zone) - before_return
+        for client in clients:
+            client.stdout.close()
+            client.wait()
+    table(results, phases)
+    print(f"accepted in {accepted * 1000:.0f} ms; starts in the zone from {GRACE_S} s after")
+    print(f"acceptance until its return: {late} (at most 0 allowed); after its return: {after}")
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -33,6 +33,9 @@
         self.fleet.write_configuration(rows)
         self.fleet.publish_vms()
         self.fleet.wait_ready()
+        for daemon in self.fleet.daemons.values():
+            # A daemon that has just started refuses until it holds its first shares.
+            wait_for(lambda d=daemon: "choices" in post_completion(d.address, "len=1"), "service")
         return [process.address for process in self.fleet.daemons.values()]
 
     def ask(self, address, tokens, text="Route summary", stream=True):
--- /dev/null
+++ b/tests/test_orders_fleet.py
@@ -0,0 +1,65 @@
+"""Orders to engines while their holder is paused past its lease, with real processes."""
+
+import signal
+import unittest
+
+from tests.builders import JAR_ZONES, jar_returns_rows
+from tests.fleet import Fleet, post, wait_for
+
+
+class OrdersFleet(unittest.TestCase):
+    def setUp(self):
+        self.fleet = self.enterContext(Fleet())
+        self.engines = [
+            self.fleet.backend("crock-0", "crock-llm", JAR_ZONES[0], "engine", "--check-fencing"),
+            self.fleet.backend("crock-1", "crock-llm", JAR_ZONES[1], "engine"),
+        ]
+        for number, zone in enumerate(JAR_ZONES):
+            self.fleet.daemon(f"entry-{number}", zone)
+        self.fleet.write_configuration(jar_returns_rows())
+        self.fleet.publish_vms()
+        self.fleet.wait_ready()
+        self.daemons = list(self.fleet.daemons.values())
+
+    def want(self, daemon, version):
+        changes = {
+            f"order/{name}": {"server_id": name, "model": "crock", "version": version}
+            for name in ("crock-0", "crock-1")
+        }
+        status, answer = self.fleet.apply(daemon, f"order-{version}", changes)
+        self.assertEqual(status, 200, answer)
+
+    def orders(self, engine):
+        return post(engine.address, "/control", {})["orders"]
+
+    def holder(self, daemons):
+        for daemon in daemons:
+            if self.fleet.admin(daemon, "/admin/dump")["orders"]["holds"]:
+                return daemon
+        return None
+
+    def at_version(self, version):
+        orders = [self.orders(engine) for engine in self.engines]
+        return all(found and found[-1]["version"] == version for found in orders)
+
+    def test_a_paused_holder_neither_orders_with_its_old_right_nor_undoes_its_successor(self):
+        # Guards against two daemons that order engines after a lease lapsed during a pause.
+        self.want(self.daemons[0], "v1")
+        wait_for(lambda: self.at_version("v1"), "the first orders")
+        first = self.holder(self.daemons)
+        others = [daemon for daemon in self.daemons if daemon is not first]
+        first.signal(signal.SIGSTOP)
+        self.addCleanup(first.signal, signal.SIGCONT)
+        wait_for(lambda: self.holder(others), "a successor")
+        self.want(others[0], "v2")
+        wait_for(lambda: self.at_version("v2"), "the successor's orders")
+        first.signal(signal.SIGCONT)
+        wait_for(
+            lambda: self.fleet.admin(first, "/admin/dump")["orders"]["lease"]["fencing"] == 2,
+            "the former holder to see the lease",
+        )
+        self.assertIsNone(self.holder([first]))
+        self.assertTrue(self.at_version("v2"))
+        for engine in self.engines:
+            fencing = [order["fencing"] for order in self.orders(engine)]
+            self.assertEqual(fencing, sorted(fencing))
--- /dev/null
+++ b/tests/test_zones.py
@@ -0,0 +1,87 @@
+"""An availability zone leaves and returns under load, with real processes."""
+
+import threading
+import time
+import unittest
+
+from tests.builders import JAR_ZONES, jar_returns_rows
+from tests.fleet import Fleet, post, wait_for
+from tests.streams import Stream
+
+GRACE_S = 3.0
+WATCH_S = 3.0
+ZONE = JAR_ZONES[0]
+
+
+class Zones(unittest.TestCase):
+    def setUp(self):
+        self.fleet = self.enterContext(Fleet())
+        self.engines = {}
+        options = ("--step-ms", "15", "--cold-slots", "2", "--slots", "16")
+        for number in range(6):
+            zone = JAR_ZONES[number % 3]
+            engine = self.fleet.backend(f"crock-{number}", "crock-llm", zone, "engine", *options)
+            self.engines.setdefault(zone, []).append(engine)
+        for number, zone in enumerate(JAR_ZONES):
+            self.fleet.daemon(f"entry-{number}", zone)
+        self.fleet.write_configuration(jar_returns_rows())
+        self.fleet.publish_vms()
+        self.fleet.wait_ready()
+        self.daemons = list(self.fleet.daemons.values())
+        self.stopped = threading.Event()
+        self.short = []
+
+    def ask(self, daemon, tokens):
+        body = {"model": "crock-llm", "prompt": f"x len={tokens}", "stream": True}
+        return Stream(daemon.address, "/v1/completions", body)
+
+    def keep_asking(self, daemon):
+        while not self.stopped.is_set():
+            self.short.append(self.ask(daemon, 5).read())
+
+    def starts(self):
+        return sum(post(item.address, "/control", {})["starts"] for item in self.engines[ZONE])
+
+    def set_zone(self, enabled):
+        value = {"name": ZONE, "region": f"{ZONE}-region", "enabled": enabled}
+        status, answer = self.fleet.apply(
+            self.daemons[1], f"zone-{enabled}", {f"zone/{ZONE}": value}
+        )
+        self.assertEqual(status, 200, answer)
+        return time.monotonic()
+
+    def test_a_zone_leaves_without_new_work_or_a_cut_and_returns_without_a_fall(self):
+        # Guards against work for a zone that was taken out, against streams cut by it, and against
+        # a return that gives servers more than a newly started one can take.
+        threads = [
+            threading.Thread(target=self.keep_asking, args=[daemon])
+            for daemon in self.daemons
+            for _ in range(3)
+        ]
+        for thread in threads:
+            thread.start()
+        self.addCleanup(self.stopped.set)
+        wait_for(lambda: self.starts() > 5, "work in the zone")
+        long = [self.ask(daemon, 700) for daemon in self.daemons for _ in range(4)]
+        for stream in long:
+            stream.read(5)
+        accepted = self.set_zone(False)
+        wait_for(lambda: time.monotonic() > accepted + GRACE_S, "the end of the grace time")
+        before = self.starts()
+        wait_for(lambda: time.monotonic() > accepted + GRACE_S + WATCH_S, "the observation")
+        self.assertEqual(self.starts(), before)
+        served = len(self.short)
+        wait_for(lambda: len(self.short) > served + 20, "service by the other zones")
+        self.set_zone(True)
+        wait_for(lambda: self.starts() > before + 20, "work after the return")
+        for stream in long:
+            stream.read()
+            self.assertIsNone(stream.error)
+            self.assertEqual(stream.offsets(), list(range(700)))
+        self.stopped.set()
+        for thread in threads:
+            thread.join()
+        self.assertEqual([stream.error for stream in self.short if stream.error], [])
+        self.assertTrue(
+            all(item.popen.poll() is None for engines in self.engines.values() for item in engines)
+        )
