--- a/src/lovageway/controllers/holding.py
+++ b/src/lovageway/controllers/holding.py
@@ -224,16 +224,19 @@
         asked = known is not None and known.first <= self._answered_at()
         pending = expired or not (self._short[part] or (asked and self.kinds[part] == "rate"))
         self.urgent = True
-        return Shortage(part, pending, self._retry_after(part, amounts[part]))
+        return Shortage(part, pending, self._retry_after(part, key))
 
     def _answered_at(self) -> float:
         sent = self._sent.get(self._order[0])
         return sent.at if sent else float("-inf")
 
-    def _retry_after(self, part: int, amount: float) -> float:
-        if self.kinds[part] != "rate" or self.amounts[part] <= 0:
+    def _retry_after(self, part: int, key: str) -> float:
+        """Return the time until the bucket holds enough for the key and for those before it."""
+        if self.kinds[part] != "rate" or self.amounts[part] <= 0 or key not in self._unmet:
             return 1.0
-        return min(60.0, max(0.05, (amount - self._levels[part]) / self.amounts[part]))
+        first = self._unmet[key].first
+        due = sum(item.amounts[part] for item in self._unmet.values() if item.first <= first)
+        return min(60.0, max(0.05, (due - self._levels[part]) / self.amounts[part]))
 
     def _need(self, part: int, kind: Kind, unmet: float, now: float) -> float:
         if kind == "held":
--- a/src/lovageway/filters/limits.py
+++ b/src/lovageway/filters/limits.py
@@ -11,6 +11,9 @@
 
 FIRST_SHARE_WAIT_S = 1.0  # an owner answers within one round trip; see design page, section 4
 RETRY_AFTER_S = 1.0
+# A new owner starts with an empty burst, so it would refuse 50 callers that come together although
+# their contract allows 1,000 requests/s; the burst fills within this time.
+BRIEF_WAIT_S = 0.25
 _PARTS = ("concurrency", "requests", "tokens")
 _CODES = (Code.CONCURRENCY, Code.REQUEST_RATE, Code.TOKEN_RATE)
 # A request needs a bucket of tokens that is not in debt; its own length is not known yet.
@@ -40,15 +43,18 @@
         self._shares = shares
 
     def admit(self, ctx: Context, now: float, emit: Emit) -> Verdict:
-        """Refuse at once over the limit; wait a moment for a share that has to be fetched."""
+        """Refuse over the limit; wait briefly for a share or for a bucket that is about to fill."""
         shortage = self._shares.try_take(_resource(ctx), ctx.req.request_id, _REQUEST, now)
         if shortage is None:
             return Ok(ctx)
         if shortage.pending:
             refusal = Refusal(Code.SHARE_UNAVAILABLE, retry_after_s=RETRY_AFTER_S)
             return stop(Wait(refusal, now + FIRST_SHARE_WAIT_S))
+        refusal = Refusal(_CODES[shortage.part], retry_after_s=shortage.retry_after_s)
+        if shortage.retry_after_s <= BRIEF_WAIT_S:
+            return stop(Wait(refusal, now + BRIEF_WAIT_S))
         emit(Count("limited", (_PARTS[shortage.part],)))
-        return stop(Refusal(_CODES[shortage.part], retry_after_s=shortage.retry_after_s))
+        return stop(refusal)
 
     def delivered(self, ctx: Context, count: int, now: float, emit: Emit) -> None:
         """Charge output tokens; the bucket may go into debt."""
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -33,14 +33,14 @@
 
 
 class Daemon:
-    def __init__(self, contact=True, **limits):
+    def __init__(self, contact=True, settle_s=6.0, **limits):
         self.around = Around(**limits)
         self.around.contact = contact
         self.shares = Shares(self.around)
         self.shares.register("account", AccountLimits(self.around))
         self.chain = Chain([Limits(self.shares)])
         self.now, self.refusals, self.count = 100.0, {}, 0
-        self.run(6.0)  # past the wait of a new owner, so that the burst is full
+        self.run(settle_s)  # 6 s are past the wait of a new owner, so that the burst is full
 
     def emit(self, effect):
         if isinstance(effect, Refuse):
@@ -49,9 +49,12 @@
     def run(self, seconds):
         for _ in range(round(seconds / 0.05)):
             self.now += 0.05
-            self.shares.tick(self.now, self.emit)
-            self.shares.flush(self.now, self.emit)
-            self.chain.poll(self.now, self.emit)
+            self.step()
+
+    def step(self):
+        self.shares.tick(self.now, self.emit)
+        self.shares.flush(self.now, self.emit)
+        self.chain.poll(self.now, self.emit)
 
     def arrive(self, count=1):
         """Let requests arrive at once; returns the names of those that passed or wait."""
@@ -93,6 +96,18 @@
         daemon.run(refusal.retry_after_s + 0.05)
         self.assertEqual(len(daemon.arrive()), 1)
 
+    def test_callers_that_come_together_under_the_rate_are_served_while_the_burst_fills(self):
+        # Guards against a new owner, whose burst is empty, refusing what the contract allows.
+        limits = {"requests_per_s": 1000.0, "concurrency": 2000, "tokens_per_s": 1e6}
+        daemon = Daemon(settle_s=0.0, **limits)
+        for _ in range(50):
+            daemon.now += 0.001
+            daemon.arrive()
+        daemon.step()
+        daemon.run(1.5)
+        self.assertEqual(daemon.refusals, {})
+        self.assertEqual((len(daemon.chain), daemon.chain.waiting()), (50, 0))
+
     def test_output_tokens_in_debt_stop_the_next_request(self):
         # Guards against accounts whose long answers are never charged.
         daemon = Daemon(tokens_per_s=100.0)
