Move stand-ins, proxy and the script of the local system out of the tests

Cause: the demo and the measurements imported them from the tests. standins/ is what tests, bench and 'make demo' share. The demo now asks discovery for the address of each request, as callers do.

--- a/Makefile
+++ b/Makefile
@@ -4,17 +4,17 @@
 .PHONY: demo test format binary
 
 demo: .venv/stamp
-	$(BIN)/python -m tests.demo
+	$(BIN)/python -m standins.demo
 
 test: .venv/stamp
-	$(BIN)/black --check --quiet src tests bench tools
-	$(BIN)/ruff check src tests bench tools
+	$(BIN)/black --check --quiet src tests bench tools standins
+	$(BIN)/ruff check src tests bench tools standins
 	$(BIN)/mypy
 	$(BIN)/python -m nose2 -v
 
 format: .venv/stamp
-	$(BIN)/black --quiet src tests bench tools
-	$(BIN)/ruff check --fix --quiet src tests bench tools
+	$(BIN)/black --quiet src tests bench tools standins
+	$(BIN)/ruff check --fix --quiet src tests bench tools standins
 
 binary: dist/lovageway
 
--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -16,8 +16,8 @@
 import time
 from datetime import datetime
 
+from standins.fleet import Fleet, wait_for
 from tests.builders import JAR_ZONES, contract_row, jar_returns_rows
-from tests.fleet import Fleet, wait_for
 
 IDLE_S = 8.0  # below the 10 s after which the daemon's listener closes an idle connection
 SAMPLES = 60
--- a/bench/limits.py
+++ b/bench/limits.py
@@ -14,8 +14,8 @@
 import time
 
 import urllib3
+from standins.fleet import Fleet, http, wait_for
 from tests.builders import contract_row, jar_returns_rows
-from tests.fleet import Fleet, http, wait_for
 
 SEED = 11
 LIMIT = 24
--- a/bench/membership.py
+++ b/bench/membership.py
@@ -18,8 +18,8 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import urllib3
+from standins.fleet import Fleet
 from tests.builders import JAR_ZONES, jar_returns_rows
-from tests.fleet import Fleet
 
 from lovageway.adapters.peers import IDLE_TIMEOUT_S
 from lovageway.controllers.membership import Membership
--- a/bench/polls.py
+++ b/bench/polls.py
@@ -9,8 +9,8 @@
 import time
 from pathlib import Path
 
+from standins.fleet import Fleet
 from tests.builders import jar_returns_rows
-from tests.fleet import Fleet
 
 TICKS = os.sysconf("SC_CLK_TCK")
 SETTLE_S = 3.0
--- a/bench/routing.py
+++ b/bench/routing.py
@@ -14,7 +14,7 @@
 from collections import Counter
 from pathlib import Path
 
-from tests.fleet import Fleet, http
+from standins.fleet import Fleet, http
 
 from bench.workload import DEPLOYMENTS, arrivals, start
 
--- a/bench/streams.py
+++ b/bench/streams.py
@@ -14,8 +14,8 @@
 import time
 from pathlib import Path
 
+from standins.fleet import Fleet
 from tests.builders import contract_row, jar_returns_rows
-from tests.fleet import Fleet
 
 ENGINES = 6
 STEP_MS = 25.0  # an engine step lengthens with its batch to about 50 ms when it is full
--- a/bench/zones.py
+++ b/bench/zones.py
@@ -11,7 +11,7 @@
 import sys
 import time
 
-from tests.fleet import Fleet, post
+from standins.fleet import Fleet, post
 
 from bench.workload import DEPLOYMENTS, arrivals, start
 
--- a/tests/demo.py
+++ b/standins/demo.py
@@ -5,7 +5,8 @@
 import sys
 
 from tests.builders import JAR_ZONES, jar_returns_rows
-from tests.fleet import Fleet, http
+
+from standins.fleet import Fleet, http
 
 KEY = {"Authorization": "Bearer clerks-key"}
 
@@ -22,6 +23,14 @@
     fleet.wait_ready()
 
 
+def discover(address, service):
+    """Ask any daemon which addresses to use and return the first."""
+    url = f"http://{address}/v1/discovery?service={service}"
+    answer = json.loads(http.request("GET", url, headers=KEY).data)
+    print(f"discovery for {service}: {answer}")
+    return answer["addresses"][0]
+
+
 def summary(address):
     body = {"model": "crock-llm", "prompt": "Route summary, len=40", "stream": True}
     url = f"http://{address}/v1/completions"
@@ -46,10 +55,10 @@
     with Fleet() as fleet:
         start(fleet)
         first = next(iter(fleet.daemons.values()))
-        words = summary(first.address)
+        words = summary(discover(first.address, "crock-llm"))
         if [int(word.rpartition(":")[2]) for word in words] != list(range(40)):
             sys.exit(f"the summary is not whole and in order: {words}")
-        status, answer = refund(first.address)
+        status, answer = refund(discover(first.address, "counter-app"))
         print("refund:", status, answer)
         if status != 200:
             sys.exit("the refund was refused")
--- a/tests/standins/engine.py
+++ b/standins/engine.py
@@ -21,7 +21,7 @@
 import time
 from collections import Counter, OrderedDict, deque
 
-from tests.standins.web import Reply, parser, serve
+from standins.web import Reply, parser, serve
 
 CHARS_PER_TOKEN = 4
 BLOCK_TOKENS = 64  # unit of the prefix cache
--- a/tests/fleet.py
+++ b/standins/fleet.py
@@ -14,7 +14,7 @@
 
 import urllib3
 
-from tests.proxy import Proxy
+from standins.proxy import Proxy
 
 START_TIMEOUT_S = 30.0
 WAIT_TIMEOUT_S = 30.0
@@ -112,7 +112,7 @@
 
     def standin(self, kind, *options):
         """Start a stand-in process of the given kind."""
-        return self._start([sys.executable, "-m", f"tests.standins.{kind}", *options])
+        return self._start([sys.executable, "-m", f"standins.{kind}", *options])
 
     def backend(self, vm_id, service, zone, kind, *options):
         """Start a backend server and list its VM."""
--- a/tests/standins/plain.py
+++ b/standins/plain.py
@@ -5,7 +5,7 @@
 import threading
 import time
 
-from tests.standins.web import Reply, parser, serve
+from standins.web import Reply, parser, serve
 
 
 class Plain:
--- a/tests/standins/platform.py
+++ b/standins/platform.py
@@ -10,7 +10,7 @@
 import threading
 import time
 
-from tests.standins.web import Reply, parser, serve
+from standins.web import Reply, parser, serve
 
 SLOW_S = 5.0
 
--- a/tests/streams.py
+++ b/standins/streams.py
@@ -2,7 +2,7 @@
 
 import json
 
-from tests.fleet import http
+from standins.fleet import http
 
 KEY = {"Authorization": "Bearer clerks-key"}
 
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -8,10 +8,11 @@
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 
+from standins.fleet import WAIT_TIMEOUT_S, Fleet, http, post, wait_for
+from standins.proxy import Proxy
+
 from lovageway.codes import Code
 from tests.builders import jar_returns_rows
-from tests.fleet import WAIT_TIMEOUT_S, Fleet, http, post, wait_for
-from tests.proxy import Proxy
 
 NOT_YET = (Code.REQUEST_RATE, Code.SHARE_UNAVAILABLE, Code.NO_SERVER, Code.QUEUE_FULL)
 PATH = "/v1/services/counter-app/refund"
--- a/tests/test_binary.py
+++ b/tests/test_binary.py
@@ -1,12 +1,15 @@
 """The single executable file serves from the process that was started."""
 
+import contextlib
+import io
 import subprocess
 import unittest
 from pathlib import Path
 
-from tests import demo
+from standins import demo
+from standins.fleet import Fleet
+
 from tests.builders import jar_returns_rows
-from tests.fleet import Fleet
 
 ROOT = Path(__file__).resolve().parent.parent
 BINARY = ROOT / "dist" / "lovageway"
@@ -29,7 +32,8 @@
             fleet.write_configuration(jar_returns_rows())
             fleet.publish_vms()
             fleet.wait_ready()
-            self.assertEqual(len(demo.summary(daemon.address)), 40)
+            with contextlib.redirect_stdout(io.StringIO()):
+                self.assertEqual(len(demo.summary(daemon.address)), 40)
             pid = daemon.popen.pid
             children = Path(f"/proc/{pid}/task/{pid}/children").read_text()
             self.assertEqual(children, "")
--- a/tests/test_configuration_fleet.py
+++ b/tests/test_configuration_fleet.py
@@ -5,8 +5,9 @@
 import time
 import unittest
 
+from standins.fleet import Fleet, http, wait_for
+
 from tests.builders import JAR_ZONES, jar_returns_rows
-from tests.fleet import Fleet, http, wait_for
 
 
 def zone_row(name, **fields):
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -7,12 +7,13 @@
 import time
 import unittest
 
+from standins.fleet import Fleet, http, wait_for
+
 from lovageway.controllers.drain import SERVE_ON_S, Drain
 from lovageway.controllers.membership import Membership
 from lovageway.events import Count, Stopped
 from lovageway.model import Identity
 from tests.builders import JAR_ZONES, jar_returns_rows
-from tests.fleet import Fleet, http, wait_for
 
 KEY = {"Authorization": "Bearer clerks-key"}
 STREAMS = 12
--- a/tests/test_engine_standin.py
+++ b/tests/test_engine_standin.py
@@ -4,8 +4,8 @@
 import time
 import unittest
 
-from tests.fleet import wait_for
-from tests.standins.engine import Engine, PrefixCache, Sequence
+from standins.engine import Engine, PrefixCache, Sequence
+from standins.fleet import wait_for
 
 DEFAULTS = {
     "slots": 16,
--- a/tests/test_limits_processes.py
+++ b/tests/test_limits_processes.py
@@ -10,9 +10,10 @@
 import time
 import unittest
 
+from standins.fleet import Fleet, http, wait_for
+from standins.proxy import Proxy
+
 from tests.builders import contract_row, jar_returns_rows
-from tests.fleet import Fleet, http, wait_for
-from tests.proxy import Proxy
 
 DAEMONS = 4
 RETRY_S = 0.05
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,6 +5,7 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from standins.fleet import Fleet, wait_for
 
 from lovageway.controllers import _swim, membership
 from lovageway.controllers.membership import Membership
@@ -12,7 +13,6 @@
 from lovageway.messages import Ack, Leaving, Member, MemberPull, Members, Ping, decode, encode
 from lovageway.model import Identity, Vm
 from tests.builders import JAR_ZONES
-from tests.fleet import Fleet, wait_for
 
 STEP_S = 0.05
 MAX_PING_BYTES = 2048
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -10,13 +10,13 @@
 import unittest
 from pathlib import Path
 
+from standins.fleet import Fleet, http, wait_for
+from standins.proxy import Proxy
 from typer.testing import CliRunner
 
 from lovageway import _changes, _client
 from lovageway.cli import app
 from tests.builders import JAR_ZONES, contract_row, jar_returns_rows
-from tests.fleet import Fleet, http, wait_for
-from tests.proxy import Proxy
 
 
 class WithFleet(unittest.TestCase):
--- a/tests/test_orders_fleet.py
+++ b/tests/test_orders_fleet.py
@@ -3,9 +3,10 @@
 import signal
 import unittest
 
+from standins.fleet import Fleet, post, wait_for
+from standins.proxy import Proxy
+
 from tests.builders import JAR_ZONES, jar_returns_rows
-from tests.fleet import Fleet, post, wait_for
-from tests.proxy import Proxy
 
 
 class OrdersFleet(unittest.TestCase):
--- a/tests/test_poison_fleet.py
+++ b/tests/test_poison_fleet.py
@@ -6,11 +6,12 @@
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 
+from standins.fleet import Fleet, http, post, wait_for
+from standins.proxy import Proxy
+from standins.streams import Stream
+
 from lovageway.codes import Code
 from tests.builders import JAR_ZONES, contract_row, jar_returns_rows
-from tests.fleet import Fleet, http, post, wait_for
-from tests.proxy import Proxy
-from tests.streams import Stream
 
 # Says that the caller may simply send again.
 NOT_YET = {4201, 4202, 4203, 4205, 4301, 4302, 4303}
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -4,9 +4,10 @@
 import time
 import unittest
 
+from standins.fleet import Fleet, post, wait_for
+from standins.streams import Stream
+
 from tests.builders import JAR_ZONES, jar_returns_rows
-from tests.fleet import Fleet, post, wait_for
-from tests.streams import Stream
 
 GRACE_S = 3.0
 WATCH_S = 3.0
