Cancel a resumed generation when its caller leaves; bound a label; report whole output

Cause: found while reading: the first daemon lets a resumed generation go, and nobody cancelled it when the caller left the second one. The counter of requests took its label from the request, so a caller could fill the memory with names of services. A whole answer reported 0 output tokens.

Measured: the two new tests fail without the changes and pass with them; tests.test_callers and three tests of streams pass (13 in 32 s).

--- a/src/lovageway/exchange.py
+++ b/src/lovageway/exchange.py
@@ -236,10 +236,10 @@
         finally:
             if not finished:
                 self._engines.cancel(generation.address, generation.name)
-        output = sum(len(part.texts) for part in held if isinstance(part, Tokens))
+        self._delivered = sum(len(part.texts) for part in held if isinstance(part, Tokens))
         self._end(generation)
         yield from held
-        yield Ended(output)
+        yield Ended(self._delivered)
 
     def _end(self, generation: _Generation) -> None:
         self._resumable = ""
--- a/src/lovageway/filters/resumption.py
+++ b/src/lovageway/filters/resumption.py
@@ -41,4 +41,4 @@
                 ctx.service.timeout_s,
             )
         )
-        return Ok(ctx._replace(server_id=token.server_id, start_id=token.start_id))
+        return Ok(ctx._replace(server_id=token.server_id, address=address, start_id=token.start_id))
--- a/src/lovageway/node.py
+++ b/src/lovageway/node.py
@@ -214,7 +214,9 @@
 
     @_on.register
     def _(self, event: RequestArrived, now: float) -> None:
-        self._emit(Count("requests", (event.req.service,)))
+        known = event.req.service in self.configuration.snapshot.services
+        # A caller could fill the memory with labels of its own choice.
+        self._emit(Count("requests", (event.req.service if known else "unknown",)))
         chain = self._resumes if event.req.resume else self.chain
         chain.enter(Context(event.req, arrived=now), now, self._emit)
         self._release_ended(now)
@@ -271,8 +273,8 @@
     @_on.register
     def _(self, event: CallerGone, now: float) -> None:
         self._emit(Count("callers_gone"))
+        ctx = self.chain.get(event.request_id) or self._resumes.get(event.request_id)
         self._resumes.finish(event.request_id, now, self._emit)
-        ctx = self.chain.get(event.request_id)
         if ctx is not None and event.generation:
             self.streams.park(event.generation, event.request_id, ctx.server_id, ctx.address, now)
         else:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -5,9 +5,9 @@
 import unittest
 
 import openai
+from standins.fleet import Fleet, http
 
 from tests.builders import jar_returns_rows
-from tests.fleet import Fleet, http
 
 KEY = {"Authorization": "Bearer clerks-key"}
 GOOD = {"model": "crock-llm", "prompt": "Route summary, len=12"}
@@ -102,6 +102,15 @@
         text = http.request("GET", url, headers=headers).data.decode()
         self.assertRegex(text, r'lovageway_refusals_total\{code="4005"\} [1-9]')
 
+    def test_unknown_services_share_one_label(self):
+        # Guards against memory that callers can fill with labels of metrics.
+        self.post("/v1/completions", json={**GOOD, "model": "no-such-model"})
+        headers = {"Authorization": f"Bearer {self.fleet.operator_key}"}
+        url = f"http://{self.daemon.addresses['operator_listen']}/metrics"
+        text = http.request("GET", url, headers=headers).data.decode()
+        self.assertNotIn("no-such-model", text)
+        self.assertIn('lovageway_requests_total{service="unknown"}', text)
+
     def test_operators_pages_need_an_operators_key(self):
         # Guards against callers who read the state of the fleet.
         url = f"http://{self.daemon.addresses['operator_listen']}/admin/dump"
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -5,10 +5,11 @@
 import threading
 import unittest
 
+from standins.fleet import Fleet, http, wait_for
+from standins.proxy import Proxy
+from standins.streams import KEY, Stream
+
 from tests.builders import contract_row, jar_returns_rows
-from tests.fleet import Fleet, http, wait_for
-from tests.proxy import Proxy
-from tests.streams import KEY, Stream
 
 ZONE = "khangai"
 
@@ -142,6 +143,19 @@
         dump = self.fleet.admin(self.fleet.daemons["entry-0"], "/admin/dump")
         self.assertEqual(dump["requests"]["open"], 0)
 
+    def test_a_resumed_generation_is_cancelled_when_its_caller_leaves_for_good(self):
+        # Guards against a generation that nobody cancels after its first daemon has let it go.
+        first, second = self.start(daemons=2)
+        stream = self.ask(first, 100000).read(20)
+        stream.resp.close()
+        body = {"resume_token": stream.token}
+        again = Stream(
+            second, "/v1/streams/resume", body, {"Last-Event-ID": stream.last_id}.items()
+        )
+        again.read(40)
+        again.resp.close()
+        wait_for(lambda: self.running("crock-0")["running"] == 0, "cancellation")
+
     def test_a_paused_engine_gives_each_caller_its_own_answer_after_it_continues(self):
         # Guards against answers that reach another caller when many arrive late and at once.
         (address,) = self.start()
