--- a/src/lovageway/adapters/operators.py
+++ b/src/lovageway/adapters/operators.py
@@ -103,7 +103,7 @@
             case "GET", ["admin", "explain", request_id]:
                 return self._runtime.read(lambda node, now: node.explain(request_id))
             case "GET", ["admin", "accounts", name]:
-                found = self._runtime.read(lambda node, now: report.account(node, name))
+                found = self._runtime.read(lambda node, now: report.account(node, name, now))
                 if found is not None:
                     return found
                 raise RefusedError(Refusal(Code.NOT_FOUND, f"Account: {name[:80]!r}."))
--- a/src/lovageway/operator.py
+++ b/src/lovageway/operator.py
@@ -127,10 +127,19 @@
 
 @_command
 def account(name: str, address: Addresses, key_file: KeyFile, as_json: AsJson = False) -> None:
-    """Show the contract of a client account."""
+    """Show the contract of a client account, and its use as the asked daemon knows it."""
     session = Session(Client(address, key_file, 0.0), as_json)
     found = session.client.get(f"/admin/accounts/{name}")
     lines = [f"{key} = {json.dumps(value)}" for key, value in found["contract"].items()]
+    lines.append(f"owner of the limits: {found['owner']}")
+    share = found["share_here"]
+    use = "no share here"
+    if share:
+        parts = zip(found["parts"], share["amounts"], share["in_use"], strict=True)
+        use = "; ".join(
+            f"{part}: share {amount:g}, in use {used:g}" for part, amount, used in parts
+        )
+    lines.append(f"this daemon: {use}")
     session.show(found, "\n".join(lines))
 
 
--- a/src/lovageway/report.py
+++ b/src/lovageway/report.py
@@ -77,13 +77,22 @@
     }
 
 
-def account(node: Node, name: str) -> dict[str, object] | None:
-    """Return the contract row of a client account, None when there is none."""
+def account(node: Node, name: str, now: float) -> dict[str, object] | None:
+    """Return a client account's contract and its use of the limits, None without a contract.
+
+    The share is that of this daemon; the owner of the limits also knows that of the whole fleet.
+    """
     contract = node.configuration.snapshot.contracts.get(name)
     if contract is None:
         return None
+    resource = f"account:{name}"
+    held = node.shares.held(resource)
     return {
         "account": name,
         "version": node.configuration.snapshot.version,
         "contract": contract._asdict(),
+        "parts": ["concurrency", "requests_per_s", "tokens_per_s"],
+        "owner": node.shares.ownership.owner(resource),
+        "share_here": held.dump(now) if held else None,
+        "fleet": node.shares.total(resource, now) or None,
     }
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -120,6 +120,8 @@
         self.assertEqual(self.rows()["contract/new"], {**row, "concurrency": 7})
         shown = self.json_of("account", "new")
         self.assertEqual(shown["contract"]["concurrency"], 7)
+        self.assertTrue(shown["owner"].startswith("entry-"))
+        self.assertIn("this daemon: no share here", self.run_command("account", "new").output)
         self.json_of("contract", "remove", "new", "--wait")
         self.json_of("account", "new", code=_client.NOT_FOUND)
         self.json_of("contract", "remove", "new", code=_client.NOT_FOUND)
