--- a/bench/polls.py
+++ b/bench/polls.py
@@ -7,23 +7,13 @@
 import argparse
 import os
 import time
-from pathlib import Path
 
 from standins.fleet import Fleet
 from tests.builders import jar_returns_rows
 
-TICKS = os.sysconf("SC_CLK_TCK")
-SETTLE_S = 3.0
-
-
-def cpu_s(pid):
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS
+from bench.process import cpu_s, rss_mb
 
-
-def rss_mb(pid):
-    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
-    return next(int(line.split()[1]) / 1024 for line in lines if line.startswith("VmRSS"))
+SETTLE_S = 3.0
 
 
 def measure(servers, seconds):
--- a/bench/routing.py
+++ b/bench/routing.py
@@ -50,31 +50,39 @@
     return ticks / os.sysconf("SC_CLK_TCK")
 
 
+def start_clients(fleet, dep, plan, begin, end_s):
+    """Start the client processes, each with its part of the arrivals, and return them."""
+    shared = {"plain": dep.plain, "engine": dep.engine, "start": begin, "end_s": end_s}
+    shared["daemons"] = [item.address for item in fleet.daemons.values()]
+    clients = []
+    for number in range(CLIENTS):
+        part = [item._asdict() for item in plan[number::CLIENTS]]
+        command = [sys.executable, "-m", "bench.client"]
+        client = subprocess.Popen(command, stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+        client.stdin.write(json.dumps({**shared, "arrivals": part}).encode())
+        client.stdin.close()
+        clients.append(client)
+    return clients
+
+
+def collect(clients):
+    """Return the results of all clients once they have ended."""
+    results = [item for client in clients for item in json.load(client.stdout)]
+    for client in clients:
+        client.stdout.close()
+        client.wait()
+    return results
+
+
 def measure(dep, policy, plan, args):
     """Run one policy on a fresh fleet; returns results and engine figures."""
     with Fleet() as fleet:
         start(fleet, dep, args.daemons, policy)
         begin = time.monotonic() + START_DELAY_S
-        end_s = args.warmup + args.seconds + args.drain
-        shared = {"plain": dep.plain, "engine": dep.engine, "start": begin, "end_s": end_s}
-        shared["daemons"] = [item.address for item in fleet.daemons.values()]
-        clients = []
-        for number in range(CLIENTS):
-            part = [item._asdict() for item in plan[number::CLIENTS]]
-            client = subprocess.Popen(
-                [sys.executable, "-m", "bench.client"],
-                stdin=subprocess.PIPE,
-                stdout=subprocess.PIPE,
-            )
-            client.stdin.write(json.dumps({**shared, "arrivals": part}).encode())
-            client.stdin.close()
-            clients.append(client)
+        clients = start_clients(fleet, dep, plan, begin, args.warmup + args.seconds + args.drain)
         time.sleep(max(0.0, begin + args.warmup - time.monotonic()))
         before, cpu_before, at = engine_stats(fleet), cpu_s(fleet), time.monotonic()
-        results = [item for client in clients for item in json.load(client.stdout)]
-        for client in clients:
-            client.stdout.close()
-            client.wait()
+        results = collect(clients)
         after = engine_stats(fleet)
         dead = [name for name, item in zip(fleet.vms, fleet.processes[1:], strict=True)
                 if item.popen.poll() is not None]  # fmt: skip
--- a/bench/streams.py
+++ b/bench/streams.py
@@ -12,26 +12,14 @@
 import os
 import sys
 import time
-from pathlib import Path
 
 from standins.fleet import Fleet
 from tests.builders import contract_row, jar_returns_rows
 
+from bench.process import cpu_s, rss_mb
+
 ENGINES = 6
 STEP_MS = 25.0  # an engine step lengthens with its batch to about 50 ms when it is full
-TICKS = os.sysconf("SC_CLK_TCK")
-
-
-def cpu_s(pid):
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS
-
-
-def rss_mb(pid):
-    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith("VmRSS"):
-            return int(line.split()[1]) / 1024
-    return 0.0
 
 
 async def read_stream(address, number, tokens, gaps, refused):
--- a/bench/zones.py
+++ b/bench/zones.py
@@ -5,20 +5,17 @@
 """
 
 import argparse
-import json
 import os
-import subprocess
-import sys
 import time
 
 from standins.fleet import Fleet, post
 
+from bench.routing import collect, start_clients
 from bench.workload import DEPLOYMENTS, arrivals, start
 
 START_DELAY_S = 2.0
 GRACE_S = 3.0  # from acceptance until no server of the zone may receive new work
 DRAIN_S = 15.0
-CLIENTS = 2
 
 
 def starts(fleet, zone):
@@ -46,20 +43,6 @@
     time.sleep(max(0.0, moment - time.monotonic()))
 
 
-def run_clients(fleet, dep, plan, begin, end_s):
-    shared = {"plain": dep.plain, "engine": dep.engine, "start": begin, "end_s": end_s}
-    shared["daemons"] = [item.address for item in fleet.daemons.values()]
-    clients = []
-    for number in range(CLIENTS):
-        part = [item._asdict() for item in plan[number::CLIENTS]]
-        command = [sys.executable, "-m", "bench.client"]
-        client = subprocess.Popen(command, stdin=subprocess.PIPE, stdout=subprocess.PIPE)
-        client.stdin.write(json.dumps({**shared, "arrivals": part}).encode())
-        client.stdin.close()
-        clients.append(client)
-    return clients
-
-
 def percentile(values, part):
     values = sorted(values)
     return values[int(len(values) * part)] * 1000 if values else float("nan")
@@ -98,7 +81,7 @@
     with Fleet() as fleet:
         start(fleet, dep, 3, "memory")
         begin = time.monotonic() + START_DELAY_S
-        clients = run_clients(fleet, dep, plan, begin, 50.0 + DRAIN_S)
+        clients = start_clients(fleet, dep, plan, begin, 50.0 + DRAIN_S)
         wait_until(begin + phases["zone out"][0])
         accepted = set_zone(fleet, zone, False)
         wait_until(time.monotonic() + GRACE_S)
@@ -107,11 +90,8 @@
         late = starts(fleet, zone) - late
         set_zone(fleet, zone, True)
         before_return = starts(fleet, zone)
-        results = [item for client in clients for item in json.load(client.stdout)]
+        results = collect(clients)
         after = starts(fleet, zone) - before_return
-        for client in clients:
-            client.stdout.close()
-            client.wait()
     table(results, phases)
     print(f"accepted in {accepted * 1000:.0f} ms; starts in the zone from {GRACE_S} s after")
     print(f"acceptance until its return: {late} (at most 0 allowed); after its return: {after}")
--- a/src/lovageway/node.py
+++ b/src/lovageway/node.py
@@ -104,6 +104,13 @@
         )
         self.budgets = Budgets()
         self.poison = Poison(self.membership, rng)
+        self.streams = Streams(self.membership)
+        self.orders = Orders(
+            self.membership,
+            lambda: self.configuration.snapshot.orders,
+            self.backends.start_id,
+            options.weight_loads_per_s,
+        )
         self._controllers: dict[str, Controller] = {
             "membership": self.membership,
             "configuration": self.configuration,
@@ -115,27 +122,26 @@
             "cleaning": Cleaning(self.membership, rng),
             "budgets": self.budgets,
             "poison": self.poison,
+            "streams": self.streams,
+            "orders": self.orders,
         }
-        self.streams = Streams(self.membership)
-        self._controllers["streams"] = self.streams
-        self.orders = Orders(
-            self.membership,
-            lambda: self.configuration.snapshot.orders,
-            self.backends.start_id,
-            options.weight_loads_per_s,
-        )
-        self._controllers["orders"] = self.orders
         self._attempt = Attempt(self.budgets)
         self.authenticate = Authenticate(self.configuration)
         readiness = Readiness(self.configuration, self.drain, self.discovery)
         self._resumes = Chain(
             [readiness, self.authenticate, Resumption(self.membership, self.streams)]
         )
-        chosen = POLICIES[options.policy]()
-        routing = Routing(
-            self.backends, self.configuration, self.lengths, identity.zone, chosen, rng
-        )
-        self.chain = Chain(
+        self.chain = self._build_chain(readiness, identity.zone, rng, options.policy)
+        self._history: OrderedDict[str, list[dict[str, object]]] = OrderedDict()
+        self._effects: list[Effect] = []
+
+    def _build_chain(
+        self, readiness: Readiness, zone: str, rng: random.Random, policy: PolicyName
+    ) -> Chain:
+        """Return the filters in the order in which a request passes them."""
+        chosen = POLICIES[policy]()
+        routing = Routing(self.backends, self.configuration, self.lengths, zone, chosen, rng)
+        return Chain(
             [
                 readiness,
                 self.authenticate,
@@ -148,8 +154,6 @@
                 self._attempt,
             ]
         )
-        self._history: OrderedDict[str, list[dict[str, object]]] = OrderedDict()
-        self._effects: list[Effect] = []
 
     def handle(self, event: Event, now: float) -> list[Effect]:
         """Return the effects of an event at the time `now` (seconds, monotonic)."""
