Prove that leaving servers get no new work; give each request of the zone test its own prompt

Cause: invariant 7 had no run with real processes. While it was added, the zone test failed in 2 of 13 runs: 'work after the return did not happen'. The dumps showed ready servers with free credit and idle daemons. All prompts of the test were equal, so prefix affinity sent every request to the two servers that had computed it; with little load that is what routing is for. Ruled out: missing grants, missing load reports, a ramp that does not end.

Change: each request has its own prompt. The assertions are unchanged.

--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -1,5 +1,6 @@
-"""An availability zone leaves and returns under load, with real processes."""
+"""Availability zones and backend servers leave and return under load, with real processes."""
 
+import itertools
 import threading
 import time
 import unittest
@@ -10,6 +11,7 @@
 from tests.builders import JAR_ZONES, jar_returns_rows
 
 GRACE_S = 3.0
+LEAVING_GRACE_S = 5.0  # the VM list is read every 2 s, load reports every 0.5 s
 WATCH_S = 3.0
 ZONE = JAR_ZONES[0]
 
@@ -30,10 +32,13 @@
         self.fleet.wait_ready()
         self.daemons = list(self.fleet.daemons.values())
         self.stopped = threading.Event()
+        self.numbers = itertools.count()
         self.short = []
 
     def ask(self, daemon, tokens):
-        body = {"model": "crock-llm", "prompt": f"x len={tokens}", "stream": True}
+        # Equal beginnings would draw every request to the servers that have computed them.
+        prompt = f"{next(self.numbers)} len={tokens}"
+        body = {"model": "crock-llm", "prompt": prompt, "stream": True}
         return Stream(daemon.address, "/v1/completions", body)
 
     def keep_asking(self, daemon):
@@ -41,7 +46,22 @@
             self.short.append(self.ask(daemon, 5).read())
 
     def starts(self):
-        return sum(post(item.address, "/control", {})["starts"] for item in self.engines[ZONE])
+        return sum(map(self.starts_at, self.engines[ZONE]))
+
+    def starts_at(self, engine):
+        return post(engine.address, "/control", {})["starts"]
+
+    def load(self):
+        """Keep every daemon busy with short streams until the test ends."""
+        threads = [
+            threading.Thread(target=self.keep_asking, args=[daemon])
+            for daemon in self.daemons
+            for _ in range(3)
+        ]
+        for thread in threads:
+            thread.start()
+        self.addCleanup(self.stopped.set)
+        return threads
 
     def set_zone(self, enabled):
         value = {"name": ZONE, "region": f"{ZONE}-region", "enabled": enabled}
@@ -54,14 +74,7 @@
     def test_a_zone_leaves_without_new_work_or_a_cut_and_returns_without_a_fall(self):
         # Guards against work for a zone that was taken out, against streams cut by it, and against
         # a return that gives servers more than a newly started one can take.
-        threads = [
-            threading.Thread(target=self.keep_asking, args=[daemon])
-            for daemon in self.daemons
-            for _ in range(3)
-        ]
-        for thread in threads:
-            thread.start()
-        self.addCleanup(self.stopped.set)
+        threads = self.load()
         wait_for(lambda: self.starts() > 5, "work in the zone")
         long = [self.ask(daemon, 700) for daemon in self.daemons for _ in range(4)]
         for stream in long:
@@ -86,3 +99,29 @@
         self.assertTrue(
             all(item.popen.poll() is None for engines in self.engines.values() for item in engines)
         )
+
+    def test_leaving_servers_get_no_new_work_and_keep_their_streams(self):
+        # Guards against work for a server that the VM list or the server itself says is leaving.
+        listed, own = self.engines[ZONE]
+        threads = self.load()
+        wait_for(lambda: min(self.starts_at(listed), self.starts_at(own)) > 3, "work at both")
+        long = [self.ask(daemon, 700) for daemon in self.daemons for _ in range(4)]
+        for stream in long:
+            stream.read(5)
+        name = next(n for n, vm in self.fleet.vms.items() if vm["address"] == listed.address)
+        self.fleet.vms[name]["state"] = "leaving"
+        self.fleet.publish_vms()
+        post(own.address, "/control", {"state": "leaving"})
+        told = time.monotonic()
+        wait_for(lambda: time.monotonic() > told + LEAVING_GRACE_S, "the end of the grace time")
+        before = [self.starts_at(listed), self.starts_at(own)]
+        wait_for(lambda: time.monotonic() > told + LEAVING_GRACE_S + WATCH_S, "the observation")
+        self.assertEqual([self.starts_at(listed), self.starts_at(own)], before)
+        for stream in long:
+            stream.read()
+            self.assertIsNone(stream.error)
+            self.assertEqual(stream.offsets(), list(range(700)))
+        self.stopped.set()
+        for thread in threads:
+            thread.join()
+        self.assertEqual([stream.error for stream in self.short if stream.error], [])
