Share the start and the final checks of the two zone tests

Cause: read-through; starting the long streams and checking that nothing was cut stood twice. The assertions are the same ones, in one place. Ruled out as duplicates worth joining: the option lists of the operators' commands (typer reads each command's own signature) and pairs of the same shape with different meaning.

--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -13,6 +13,7 @@
 GRACE_S = 3.0
 LEAVING_GRACE_S = 5.0  # the VM list is read every 2 s, load reports every 0.5 s
 WATCH_S = 3.0
+LONG_TOKENS = 700
 ZONE = JAR_ZONES[0]
 
 
@@ -63,6 +64,21 @@
         self.addCleanup(self.stopped.set)
         return threads
 
+    def start_long(self):
+        """Start streams that outlast the change and return them once each has begun."""
+        long = [self.ask(daemon, LONG_TOKENS) for daemon in self.daemons for _ in range(4)]
+        return [stream.read(5) for stream in long]
+
+    def assert_nothing_was_cut(self, long, threads):
+        for stream in long:
+            stream.read()
+            self.assertIsNone(stream.error)
+            self.assertEqual(stream.offsets(), list(range(LONG_TOKENS)))
+        self.stopped.set()
+        for thread in threads:
+            thread.join()
+        self.assertEqual([stream.error for stream in self.short if stream.error], [])
+
     def set_zone(self, enabled):
         value = {"name": ZONE, "region": f"{ZONE}-region", "enabled": enabled}
         status, answer = self.fleet.apply(
@@ -76,9 +92,7 @@
         # a return that gives servers more than a newly started one can take.
         threads = self.load()
         wait_for(lambda: self.starts() > 5, "work in the zone")
-        long = [self.ask(daemon, 700) for daemon in self.daemons for _ in range(4)]
-        for stream in long:
-            stream.read(5)
+        long = self.start_long()
         accepted = self.set_zone(False)
         wait_for(lambda: time.monotonic() > accepted + GRACE_S, "the end of the grace time")
         before = self.starts()
@@ -88,14 +102,7 @@
         wait_for(lambda: len(self.short) > served + 20, "service by the other zones")
         self.set_zone(True)
         wait_for(lambda: self.starts() > before + 20, "work after the return")
-        for stream in long:
-            stream.read()
-            self.assertIsNone(stream.error)
-            self.assertEqual(stream.offsets(), list(range(700)))
-        self.stopped.set()
-        for thread in threads:
-            thread.join()
-        self.assertEqual([stream.error for stream in self.short if stream.error], [])
+        self.assert_nothing_was_cut(long, threads)
         self.assertTrue(
             all(item.popen.poll() is None for engines in self.engines.values() for item in engines)
         )
@@ -105,9 +112,7 @@
         listed, own = self.engines[ZONE]
         threads = self.load()
         wait_for(lambda: min(self.starts_at(listed), self.starts_at(own)) > 3, "work at both")
-        long = [self.ask(daemon, 700) for daemon in self.daemons for _ in range(4)]
-        for stream in long:
-            stream.read(5)
+        long = self.start_long()
         name = next(n for n, vm in self.fleet.vms.items() if vm["address"] == listed.address)
         self.fleet.vms[name]["state"] = "leaving"
         self.fleet.publish_vms()
@@ -117,11 +122,4 @@
         before = [self.starts_at(listed), self.starts_at(own)]
         wait_for(lambda: time.monotonic() > told + LEAVING_GRACE_S + WATCH_S, "the observation")
         self.assertEqual([self.starts_at(listed), self.starts_at(own)], before)
-        for stream in long:
-            stream.read()
-            self.assertIsNone(stream.error)
-            self.assertEqual(stream.offsets(), list(range(700)))
-        self.stopped.set()
-        for thread in threads:
-            thread.join()
-        self.assertEqual([stream.error for stream in self.short if stream.error], [])
+        self.assert_nothing_was_cut(long, threads)
