Send the engine order that waited longest first

Cause: the holder went through the wanted state in order of server names and sent the first order that was due. An accepted order is due again after 30 s, so at the default of one order a second the first 30 servers used the whole rate and the others never got their first order. It also sorted the whole wanted state on every tick. Ruled out: the token bucket, which is needed for the weight store's rate; a longer repeat time, which only moves the number of engines at which others starve. The due order that was sent longest ago now goes first, before it those never sent as wanted. When nothing is due, the holder looks again after 0.5 s.

--- a/src/lovageway/controllers/orders.py
+++ b/src/lovageway/controllers/orders.py
@@ -35,6 +35,8 @@
 CANDIDATES = 3  # daemons that watch the row; all 390 would read it 195 times a second
 REPEAT_S = 30.0  # repairs an engine that lost an order it had accepted
 RETRY_S = 5.0
+# Looking through the wanted state of 5,200 engines takes about 2 ms.
+IDLE_LOOK_S = 0.5
 
 
 class _Sent(NamedTuple):
@@ -81,6 +83,7 @@
         self._sent: dict[str, _Sent] = {}
         self._bucket = 0.0
         self._bucket_at = 0.0
+        self._next_order_look = -math.inf
 
     def holds(self, now: float) -> bool:
         """Tell whether this daemon may send orders at this moment."""
@@ -188,19 +191,43 @@
         # At most one load may be saved up, so that a pause is not followed by a burst.
         self._bucket = min(1.0, self._bucket + self._loads_per_s * (now - self._bucket_at))
         self._bucket_at = now
-        addresses = {vm.vm_id: vm.address for vm in self._membership.vms if vm.state == "live"}
-        for server_id, order in sorted(self._desired().items()):
-            if self._bucket < 1.0:
-                return
-            if server_id in addresses and self._due(server_id, order, now):
-                self._bucket -= 1.0
-                start_id = self._start_id(server_id)
-                self._sent[server_id] = _Sent(order, start_id, now, False)
-                body = {**order._asdict(), "fencing": self._fencing}
-                emit(SendOrder(server_id, addresses[server_id], self._fencing, body))
-
-    def _due(self, server_id: str, order: Order, now: float) -> bool:
+        if self._bucket < 1.0 or now < self._next_order_look:
+            return
+        addresses = self._addresses()
+        server_id = self._most_urgent(addresses, now)
+        if server_id is None:
+            self._next_order_look = now + IDLE_LOOK_S
+            return
+        self._bucket -= 1.0
+        order = self._desired()[server_id]
+        self._sent[server_id] = _Sent(order, self._start_id(server_id), now, False)
+        body = {**order._asdict(), "fencing": self._fencing}
+        emit(SendOrder(server_id, addresses[server_id], self._fencing, body))
+
+    def _most_urgent(self, addresses: Mapping[str, str], now: float) -> str | None:
+        """Return the server whose due order was sent longest ago, first those never sent as wanted.
+
+        In any fixed order of servers, repeats to the first ones would use up the rate and the last
+        ones would never get their first order.
+        """
+        due = [
+            (self._sent_at(server_id, order), server_id)
+            for server_id, order in self._desired().items()
+            if server_id in addresses and self._due(server_id, order, now)
+        ]
+        return min(due)[1] if due else None
+
+    def _addresses(self) -> dict[str, str]:
+        return {vm.vm_id: vm.address for vm in self._membership.vms if vm.state == "live"}
+
+    def _sent_at(self, server_id: str, order: Order) -> float:
         sent = self._sent.get(server_id)
         if sent is None or sent.order != order or sent.start_id != self._start_id(server_id):
+            return -math.inf
+        return sent.at
+
+    def _due(self, server_id: str, order: Order, now: float) -> bool:
+        sent_at = self._sent_at(server_id, order)
+        if sent_at == -math.inf:
             return True
-        return now - sent.at >= (REPEAT_S if sent.accepted else RETRY_S)
+        return now - sent_at >= (REPEAT_S if self._sent[server_id].accepted else RETRY_S)
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -11,6 +11,7 @@
     LEASE_KEY,
     LEASE_S,
     RENEW_INTERVAL_S,
+    REPEAT_S,
     Orders,
 )
 from lovageway.events import (
@@ -203,6 +204,24 @@
         sent = [step(table, holder, 5.0 + number * STEP_S, "ok") for number in range(10)]
         self.assertEqual(sum(map(len, sent)), 1)
 
+    def test_every_engine_gets_its_order_though_repeats_alone_would_fill_the_rate(self):
+        # Guards against repeats to some engines that leave others without their first order.
+        table, (holder,) = FakeTable(), build(1)
+        count = 2 * int(REPEAT_S)  # at one order a second, two rounds of repeats
+        wanted = {f"crock-{n}": ORDER._replace(server_id=f"crock-{n}") for n in range(count)}
+        holder.orders._membership.vms = tuple(
+            Vm(name, "backend", "crock-llm", "khangai", "x:1") for name in wanted
+        )
+        holder.orders._desired = lambda: wanted
+        ordered = set()
+        for number in range(int((count + 15) / STEP_S)):
+            now = number * STEP_S
+            for effect in step(table, holder, now, "ok"):
+                ordered.add(effect.server_id)
+                answer = OrderAnswered(effect.server_id, effect.fencing, True)
+                holder.orders.on_answer(answer, now, lambda _: None)
+        self.assertEqual(ordered, set(wanted))
+
     def test_a_refused_fencing_number_ends_the_right_to_order(self):
         # Guards against a holder that goes on although an engine obeys a successor.
         table, (holder,) = FakeTable(), build(1)
