--- a/bench/tick.py
+++ b/bench/tick.py
@@ -83,6 +83,7 @@
                 self.give(answer, now)
 
     def answer(self, effect: object) -> object:
+        """Return the event that answers an effect, None when nothing does."""
         match effect:
             case ReadVmList():
                 return VmListRead(self.vms)
