Ping further peers in a quiet spell so that owners stay in contact

Cause: an owner that hears nobody for 2 s (ISOLATION_S) stops granting and takes its resources over anew. Two consecutive pings can go to one dead daemon, which leaves 3 s without an answer when nobody pings this daemon meanwhile.

A daemon that is cut off gets no answers to these pings, so it stops as before (test_a_daemon_that_is_cut_off_stops_within_the_isolation_time).

Ownership remembers the entry VMs of the list; the walk over up to 5,600 VMs ran ten times a second.

--- a/src/lovageway/controllers/membership.py
+++ b/src/lovageway/controllers/membership.py
@@ -14,6 +14,7 @@
     DEAD,
     LEAVING,
     LIVE,
+    SUSPECT,
     MemberTable,
     order,
     vm_of,
@@ -34,6 +35,11 @@
 # A refutation races against the suspicion, so it does not wait for the next regular pings.
 REFUTE_PEERS = 4
 REFUTE_INTERVAL_S = 0.5
+# A daemon that hears nobody for 2 s stops granting shares. Two consecutive pings that go to one
+# dead daemon leave 3 s without an answer, so a daemon in a quiet spell pings others as well.
+QUIET_S = 1.2  # longer than the interval of pings that are answered
+QUIET_PING_INTERVAL_S = 0.2
+QUIET_PEERS = 2  # with one, a zone outage still left some of the other zones' daemons in silence
 VM_LIST_MIN_INTERVAL_S = 2.0
 VM_LIST_READS_PER_S = 20.0  # of the whole fleet
 PULL_MIN_INTERVAL_S = 30.0
@@ -101,12 +107,15 @@
         self._contacts = Contacts(seeds, rng)
         self._started: float | None = None
         self._last_tick = 0.0
+        self._heard_at = 0.0
         self._round: list[str] = []
         self._probe: _Probe | None = None
         self._relays: dict[int, _Relay] = {}
         self._synced = False
         self._seq = 0
-        self._next = dict.fromkeys(("list", "ping", "contact", "pull", "forget", "refute"), 0.0)
+        self._next = dict.fromkeys(
+            ("list", "ping", "contact", "pull", "forget", "refute", "quiet"), 0.0
+        )
         self._own_epoch = 0
         self._viewed_epoch = -1
         self._view = View(self._me, (), ())
@@ -192,6 +201,7 @@
 
     def on_message(self, sender: str, address: str, msg: Message, now: float, emit: Emit) -> None:
         """Take over what the sender knows and answer it."""
+        self._heard_at = now
         match msg:
             case Ping(seq, _, _, members):
                 self._merge_all(members, now, emit)
@@ -221,6 +231,8 @@
             self._changed(member, emit)
         if self._due("ping", now, PING_INTERVAL_S):
             self._start_probe(now, emit)
+        elif now - self._heard_at >= QUIET_S and self._due("quiet", now, QUIET_PING_INTERVAL_S):
+            self._break_silence(now, emit)
         if self._due("contact", now, CONTACT_INTERVAL_S):
             self._contact(now, emit)
         if self._synced and self._due("pull", now, self._pull_interval()):
@@ -324,6 +336,14 @@
             seq = self._ping(target.peer_address, target.node, now, emit)
             self._probe = _Probe(seq, vm_of(target.node), target.node, now)
 
+    def _break_silence(self, now: float, emit: Emit) -> None:
+        """Ping more peers, so that silence means that this daemon is cut off."""
+        probed = self._probe.node if self._probe is not None else ""
+        others = [item for item in self._live_peers() if item.node != probed]
+        trusted = [item for item in others if item.state != SUSPECT] or others
+        for target in self._rng.sample(trusted, min(QUIET_PEERS, len(trusted))):
+            self._ping(target.peer_address, target.node, now, emit)
+
     def _next_target(self) -> Member | None:
         """Return the next peer of a shuffled round, so that each is probed once a round."""
         for _ in range(2):
--- a/src/lovageway/controllers/ownership.py
+++ b/src/lovageway/controllers/ownership.py
@@ -4,6 +4,7 @@
 
 from lovageway.controllers.membership import Membership, rendezvous_weight
 from lovageway.messages import Member
+from lovageway.model import Vm
 
 GRANT_S = 2.0
 DRIFT = 1.01  # clocks of two VMs may differ in speed by 1 %
@@ -11,7 +12,9 @@
 # after its last answer), or at which a daemon that is cut off stops to count a majority.
 DETECTION_SPREAD_S = 3.5
 NEW_OWNER_WAIT_S = GRANT_S * DRIFT + DETECTION_SPREAD_S
-ISOLATION_S = 2.0  # pings are sent every second, so a daemon in contact hears something each second
+# A daemon that heard nobody for 1.2 s pings five others a second, so one in contact is answered
+# well before this time.
+ISOLATION_S = 2.0
 # Others take no daemon for dead within ISOLATION_S of its last sign of life, so from then on its
 # last grant to itself has GRANT_S to run; half a second is for messages on their way.
 FENCED_WAIT_S = GRANT_S * DRIFT + 0.5
@@ -42,6 +45,8 @@
         self._left_at: float | None = None
         self._last_refresh = float("-inf")
         self._last_heard = float("-inf")
+        self._vms: tuple[Vm, ...] = ()
+        self._entry: frozenset[str] = frozenset()
 
     @property
     def node(self) -> str:
@@ -82,7 +87,7 @@
         return bool(gone or joined)
 
     def _in_contact(self, now: float) -> bool:
-        entry = {vm.vm_id for vm in self._membership.vms if vm.role == "entry"}
+        entry = self._entry_vms()
         if not entry:
             return False  # an unread list would make this daemon a majority of one
         isolated = now - self._last_heard > ISOLATION_S
@@ -90,6 +95,14 @@
             return False
         return self._membership.has_majority()
 
+    def _entry_vms(self) -> frozenset[str]:
+        """Return the listed entry VMs; computed once for each list, which has 5,600 VMs."""
+        vms = self._membership.vms
+        if vms is not self._vms:
+            self._vms = vms
+            self._entry = frozenset(vm.vm_id for vm in vms if vm.role == "entry")
+        return self._entry
+
     def owner(self, resource: str) -> str:
         """Return the node id of the resource's owner."""
         found = self._owners.get(resource)
@@ -169,8 +182,7 @@
         it, it can only use shares by itself, and alone it stops to do so after ISOLATION_S.
         """
         covered = {vm_of(node) for node in answered} | {vm_of(self.node)}
-        listed = {vm.vm_id for vm in self._membership.vms if vm.role == "entry"}
-        listed |= {vm_of(node) for _, node in self._departed}
+        listed = self._entry_vms() | {vm_of(node) for _, node in self._departed}
         everyone = (self._members.keys() | self._leaving.keys()) - {self.node}
         missing = listed - covered
         if not everyone <= answered or len(missing) > 1:
