Begin at home daemons of the caller's own region

Cause: the home daemons of an account came first in every answer whatever region the caller was in. With three regions, two thirds of the callers sent and received their streams across regions, which is slow and billed by volume. Ruled out: homes by region for callers that name no zone as well; the daemon that they happened to ask first would then move their account away from the owner of its shares, where limits cost no messages. A caller that names its zone now gets the first daemons of its region in the same rendezvous order; others follow.

A region whose zones are all taken out is served by the others.

--- a/src/lovageway/controllers/discovery.py
+++ b/src/lovageway/controllers/discovery.py
@@ -12,7 +12,7 @@
 
 TTL_S = 5  # callers keep an answer for this long
 MAX_ADDRESSES = 32  # an answer with all 390 daemons would have 8 KB
-MAX_HOMES_KEPT = 20000
+MAX_HOMES_KEPT = 30000  # 7,700 accounts in 3 regions
 # What one daemon carries of one account before it needs a further home daemon; the figures are the
 # load of one daemon at the target size, and half of the default of `worker_threads`.
 REQUESTS_PER_HOME = 64.0
@@ -31,7 +31,7 @@
         self._configuration = configuration
         self._seen = (-1, -1)
         self._usable: tuple[Member, ...] = ()
-        self._homes: dict[str, tuple[Member, ...]] = {}
+        self._homes: dict[tuple[str, str], tuple[Member, ...]] = {}
         self._groups: dict[str, list[list[Member]]] = {}
 
     def addresses(self, contract: Contract | None, caller: str, zone: str = "") -> tuple[str, ...]:
@@ -44,10 +44,11 @@
         caller
             Any text that differs between callers; the order is rotated by its hash.
         zone
-            Where the caller is, "" for the zone of this daemon.
+            Where the caller is; its region's daemons then come first, because traffic between
+            regions is slow and billed by volume. "": unknown, taken as near this daemon.
         """
         self._refresh()
-        homes = self._home(contract) if contract else ()
+        homes = self._home(contract, self._region(zone)) if contract else ()
         rotation = _hash(f"{contract.account if contract else ''}|{caller}")
         small = contract is not None and _need(contract) <= SMALL_NEED
         chosen = list(homes) if small else _rotate(homes, rotation)
@@ -72,8 +73,10 @@
             and not self._membership.listed_leaving(member.node)
         )
 
-    def _home(self, contract: Contract) -> tuple[Member, ...]:
-        found = self._homes.get(contract.account)
+    def _home(self, contract: Contract, region: str) -> tuple[Member, ...]:
+        """Return the home daemons of an account for callers of a region, "" for any."""
+        key = (contract.account, region)
+        found = self._homes.get(key)
         if found is None:
             by_weight = sorted(
                 self._usable,
@@ -81,24 +84,28 @@
                 key=lambda member: rendezvous_weight(member.node, f"account:{contract.account}"),
                 reverse=True,
             )
+            if region:
+                by_weight.sort(key=lambda member: self._region(member.zone) != region)
             found = tuple(by_weight[: homes_needed(contract)])
             if len(self._homes) >= MAX_HOMES_KEPT:
                 self._homes.clear()
-            self._homes[contract.account] = found
+            self._homes[key] = found
         return found
 
+    def _region(self, zone: str) -> str:
+        found = self._configuration.snapshot.zones.get(zone)
+        return found.region if found else ""
+
     def _by_distance(self, zone: str) -> list[list[Member]]:
         """Return the usable daemons of the zone, of its region and of the rest."""
         if zone in self._groups:
             return self._groups[zone]
-        zones = self._configuration.snapshot.zones
-        region = zones[zone].region if zone in zones else None
+        region = self._region(zone)
         groups: list[list[Member]] = [[], [], []]
         for member in self._usable:
-            other = zones.get(member.zone)
-            same_region = region is not None and other is not None and other.region == region
+            same_region = region != "" and self._region(member.zone) == region
             groups[0 if member.zone == zone else 1 if same_region else 2].append(member)
-        if zone in zones:  # names from callers are unbounded
+        if region:  # names from callers are unbounded
             self._groups[zone] = groups
         return groups
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -79,6 +79,22 @@
             self.assertEqual(len(set(answer)), 30)
         self.assertEqual(len(homes), 3)
 
+    def test_a_caller_that_names_its_zone_begins_in_its_own_region(self):
+        # Guards against streams that cross regions, which is slow and billed by volume.
+        found = self.build(390)
+        zone_of = {daemon(n).address: daemon(n).zone for n in range(390)}
+        for number in range(100):
+            zone = f"z{number % 10}"
+            answer = found.addresses(contract(f"a{number}"), f"c{number}", zone)
+            self.assertEqual(ZONES[zone_of[answer[0]]].region, ZONES[zone].region)
+
+    def test_a_region_without_usable_daemons_is_served_by_others(self):
+        # Guards against an answer without addresses while a region's zones are taken out.
+        closed = {n: z._replace(enabled=z.region != "r0") for n, z in ZONES.items()}
+        found = self.build(20, closed)
+        answer = found.addresses(contract("a"), "c", "z0")
+        self.assertEqual(len(answer), 12)
+
     def test_an_answer_is_bounded_at_the_target_size(self):
         # Guards against answers of 8 KB for each caller every 5 s.
         self.assertEqual(len(self.build(390).addresses(contract("a"), "c")), MAX_ADDRESSES)
