Record what the times between tokens consist of in the routing bench

The engine stand-in now notes for each gap the step's parts (decoding, new prompts, recomputation after preemption, delay of the machine), and for each first token the wait before the batch; the bench prints their shares at and above p99. The step model itself is unchanged.

--- a/bench/routing.py
+++ b/bench/routing.py
@@ -16,6 +16,7 @@
 
 from standins.fleet import Fleet, http
 
+from bench import gaps
 from bench.workload import DEPLOYMENTS, arrivals, start
 
 POLICIES = ("least_requests", "round_robin", "two_choices", "memory")
@@ -93,6 +94,7 @@
             "stall_s": after["stall_s"] - before["stall_s"],
             "engine": after["other"] - before["other"],
             "cores": (cpu_s(fleet) - cpu_before) / (time.monotonic() - at),
+            "gaps": gaps.read_gaps(fleet, begin + args.warmup),
             "dead": dead,
         }
 
@@ -107,7 +109,7 @@
     """Return the figures of one kind of request in one run."""
     found = [item for item in run["results"] if item["kind"] == kind]
     outcomes = Counter(item["outcome"] for item in found)
-    gaps = [gap * 1000 for item in found for gap in item["gaps"]]
+    between = [gap * 1000 for item in found for gap in item["gaps"]]
     firsts = [item["total_s"] if kind == "call" else item["first_s"] for item in found]
     firsts = [first * 1000 for first in firsts if first is not None]
     done = [item for item in found if item["outcome"] == "done"]
@@ -121,9 +123,9 @@
         "tok/s": sum(item["tokens"] for item in done) / seconds,
         "preempt": run["preemptions"][priority],
         "stall s": run["stall_s"][priority],
-        "gap p50": quantile(gaps, 0.5),
-        "gap p99": quantile(gaps, 0.99),
-        "gap p99.9": quantile(gaps, 0.999),
+        "gap p50": quantile(between, 0.5),
+        "gap p99": quantile(between, 0.99),
+        "gap p99.9": quantile(between, 0.999),
         "first p50": quantile(firsts, 0.5),
         "first p99": quantile(firsts, 0.99),
     }  # fmt: skip
@@ -172,6 +174,11 @@
     }
 
 
+def pool_gaps(runs):
+    """Return the gaps and the first tokens at the engines of all seeds."""
+    return [[item for run in runs for item in run["gaps"][part]] for part in (0, 1)]
+
+
 def bench(name, args):
     """Run every policy with every seed on one deployment and print the table."""
     dep = DEPLOYMENTS[name]
@@ -199,6 +206,8 @@
         for policy, found in runs.items()
     }
     show(rows, f"{name}, seeds {args.seeds}, {args.seconds} s each (times in ms)")
+    found = {policy: pool_gaps(items) for policy, items in runs.items()}
+    gaps.show(found, f"{name}: what the gaps at the engines consist of (times in ms)")
 
 
 def main():
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -11,6 +11,8 @@
 When memory is full in the middle of decoding, the least urgent and then latest sequence is
 preempted: its memory is dropped and all its tokens but a cached prefix are computed again later.
 ``GET /stats`` counts preemptions and stall time (preempted until the next token) by priority.
+``GET /gaps`` returns the times between tokens with what they consist of (`Gap`), and
+first tokens (`First`).
 """
 
 import json
@@ -20,6 +22,7 @@
 import threading
 import time
 from collections import Counter, OrderedDict, deque
+from typing import NamedTuple
 
 from standins.web import Reply, parser, serve
 
@@ -28,6 +31,38 @@
 BLOCK_CHARS = BLOCK_TOKENS * CHARS_PER_TOKEN
 WATERMARK = 0.99  # a sequence joins the batch only below this part of the memory
 HISTORY_S = 0.02  # distance of the load reports kept for --load-lag
+MAX_GAPS = 200_000  # about 40 MB; a bench run records 15,000 in each engine
+
+
+class Step(NamedTuple):
+    """What the present step consists of, in seconds."""
+
+    began: float
+    decode_s: float  # for batch and memory
+    prompt_s: float  # computation of new prompts
+    again_s: float  # computation of sequences that were preempted
+
+
+class Gap(NamedTuple):
+    """Time between two tokens of a sequence; the parts are those of the step that ended it."""
+
+    at: float  # monotonic
+    priority: int
+    gap_s: float
+    preempted: bool  # the sequence itself was preempted in between
+    decode_s: float
+    prompt_s: float
+    again_s: float
+    late_s: float  # by which the step took longer than planned (the machine's delay)
+
+
+class First(NamedTuple):
+    """Time from the arrival of a sequence to its first token."""
+
+    at: float  # monotonic
+    priority: int
+    first_s: float
+    waited_s: float  # until the sequence joined the batch
 
 
 class Sequence:
@@ -48,6 +83,8 @@
         self.seen = arrived  # when a reader last took a token
         self.cancelled = False
         self.preempted_at = None
+        self.joined_at = None
+        self.token_at = None  # when the last token was decoded
 
     def memory(self):
         return self.prompt_tokens + self.done
@@ -96,12 +133,15 @@
         self.preemptions = Counter()  # by priority
         self.stall_s = Counter()
         self.totals = Counter()
+        self.gaps = deque(maxlen=MAX_GAPS)
+        self.firsts = deque(maxlen=MAX_GAPS)
         self.orders = []
         self.fencing = 0
         self.state = "ready"
         self.reports = deque([(0.0, self.report())])
         self.refuse = False  # answer 503 to new generations, though the load report says "ready"
         self.starts = 0
+        self.now = Step(0.0, 0.0, 0.0, 0.0)
         threading.Thread(target=self.decode, daemon=True).start()
 
     def bears(self):
@@ -121,20 +161,22 @@
                     self.cond.wait(0.05)
                     self.expire()
                     continue
-                duration = self.step_s(self.compute_prompts())
-            time.sleep(duration)
+                self.now = Step(time.monotonic(), *self.step_parts(*self.compute_prompts()))
+            time.sleep(sum(self.now[1:]))
             with self.cond:
                 self.step()
                 self.expire()
                 self.cond.notify_all()
 
-    def step_s(self, prompt_tokens):
+    def step_parts(self, new, again):
+        """Return the seconds of a step for decoding, new prompts and preempted sequences."""
         batch = len(self.running) / self.args.slots
         memory = min(1.0, self.used() / self.args.memory)
         decode = self.args.step_ms / 1000 * (1 + 0.25 * batch + 0.75 * memory)
         self.totals["steps"] += 1
-        self.totals["prompt_tokens_computed"] += prompt_tokens
-        return decode + prompt_tokens / self.args.prefill_per_s
+        self.totals["prompt_tokens_computed"] += new + again
+        self.totals["preempted_tokens_computed"] += again
+        return decode, new / self.args.prefill_per_s, again / self.args.prefill_per_s
 
     def admit(self):
         """Move waiting sequences into the batch."""
@@ -148,19 +190,21 @@
             if seq.poison:
                 os._exit(1)
             self.running.append(seq)
+            seq.joined_at = seq.joined_at or time.monotonic()
             used += seq.memory()
             hit = self.cache.join(seq)
             seq.left = max(1, seq.memory() - hit)
             self.totals["prompt_tokens_cached"] += hit
 
     def compute_prompts(self):
-        """Compute up to a chunk of prompt tokens and return how many."""
-        room = self.args.chunk
+        """Compute up to a chunk of prompt tokens; returns those of new and of preempted ones."""
+        room, parts = self.args.chunk, [0, 0]
         for seq in self.running:
             part = min(room, seq.left)
             seq.left -= part
             room -= part
-        return self.args.chunk - room
+            parts[seq.preempted_at is not None] += part
+        return parts
 
     def step(self):
         now = time.monotonic()
@@ -168,6 +212,7 @@
             if seq.left:
                 continue
             seq.done += 1
+            self.record(seq, now)
             if seq.preempted_at is not None:
                 self.stall_s[seq.priority] += now - seq.preempted_at
                 seq.preempted_at = None
@@ -181,6 +226,18 @@
             self.preemptions[seq.priority] += 1
         self.cache.trim(min(self.args.cache, self.args.memory - self.used()))
 
+    def record(self, seq, now):
+        """Note what the time since the sequence's last token consists of."""
+        if seq.token_at is not None:
+            step, preempted = self.now, seq.preempted_at is not None
+            late = now - step.began - sum(step[1:])
+            gap = now - seq.token_at
+            self.gaps.append(Gap(now, seq.priority, gap, preempted, *step[1:], late))
+        else:
+            waited = seq.joined_at - seq.arrived
+            self.firsts.append(First(now, seq.priority, now - seq.arrived, waited))
+        seq.token_at = now
+
     def stop(self, seq):
         self.running.remove(seq)
         self.cache.leave(seq)
@@ -205,6 +262,9 @@
                 return Reply(200, self.load(), headers)
             case "GET", ["stats"]:
                 return Reply(200, self.stats(), headers)
+            case "GET", ["gaps"]:
+                with self.cond:
+                    return Reply(200, [list(self.gaps), list(self.firsts)], headers)
             case "POST", ["control"]:
                 wanted = json.loads(data)
                 self.state = wanted.get("state", self.state)
--- a/tests/test_engine_standin.py
+++ b/tests/test_engine_standin.py
@@ -46,15 +46,26 @@
         self.assertEqual(stats["preemptions"][0], 0)
         self.assertGreater(stats["stall_s"][10], 0)
         self.assertEqual(found.load()["preemptions"], stats["preemptions"][10])
+        self.assert_gaps_add_up(found, sequences, stats["preemptions"][10])
+
+    def assert_gaps_add_up(self, found, sequences, preemptions):
+        # Guards against a bench that blames the wrong part of a step.
+        self.assertEqual(len(found.gaps), sum(seq.wanted - 1 for seq in sequences))
+        resumed = [gap for gap in found.gaps if gap.preempted]
+        self.assertTrue(0 < len(resumed) <= preemptions)
+        self.assertTrue(all(gap.again_s > 0 for gap in resumed))
+        for gap in found.gaps:
+            parts = gap.decode_s + gap.prompt_s + gap.again_s + gap.late_s
+            self.assertTrue(parts <= gap.gap_s + 1e-9, gap)
 
     def test_steps_get_longer_with_memory_and_prompts(self):
         # Guards against an engine on which overload costs nothing.
         found = engine(prefill_per_s=1000.0)
-        idle = found.step_s(0)
-        self.assertAlmostEqual(found.step_s(100) - idle, 0.1)
+        idle = sum(found.step_parts(0, 0))
+        self.assertAlmostEqual(sum(found.step_parts(60, 40)) - idle, 0.1)
         with found.cond:
             found.running = [Sequence("s", body(10, "x" * 3200), time.monotonic())]
-            self.assertGreater(found.step_s(0), 1.4 * idle)
+            self.assertGreater(sum(found.step_parts(0, 0)), 1.4 * idle)
             found.running = []
 
     def test_a_report_lags(self):
