--- a/src/lovageway/filters/routing.py
+++ b/src/lovageway/filters/routing.py
@@ -26,8 +26,7 @@
 NO_SERVER_RETRY_S = 2.0
 BATCH_PART = 0.85  # of a grant; the rest is headroom for interactive requests
 MAX_PREFIXES = 4096
-# Crowded engines drop blocks that no running request uses within seconds.
-PREFIX_AGE_S = 8.0
+PREFIX_AGE_S = 15.0  # crowded engines drop cached blocks within seconds
 SERVERS_PER_PREFIX = 4
 # Load reports and grants are renewed every 0.5 s; a newer commitment may not show in them yet.
 PENDING_S = 0.6
@@ -45,14 +44,6 @@
     check_at: int  # output tokens at which the charge is looked at again
 
 
-class _Prefix(NamedTuple):
-    """What this daemon knows of a prompt's beginning at one server."""
-
-    start_id: str
-    running: int  # requests of this daemon that keep the blocks in use
-    used_at: float  # start or end of the last one
-
-
 class _Own(NamedTuple):
     """What this daemon's requests hold at one server."""
 
@@ -111,7 +102,7 @@
         self._held: dict[str, _Held] = {}
         self._own: dict[str, _Own] = {}
         self._pending: dict[str, list[tuple[float, int]]] = {}
-        self._prefixes: OrderedDict[tuple[str, str], dict[str, _Prefix]] = OrderedDict()
+        self._prefixes: OrderedDict[tuple[str, str], dict[str, tuple[str, float]]] = OrderedDict()
 
     def options(self, ctx: Context, memory: int, now: float) -> list[ServerView]:
         """Return the servers that have credit for the request.
@@ -172,11 +163,6 @@
         """Give the request's slot and memory back."""
         held = self._held.pop(ctx.req.request_id)
         self._backends.release(held.server_id, 1, -self._add(held, -1, -held.memory))
-        servers = self._prefixes.get((ctx.req.service, ctx.req.prefix), {})
-        known = servers.get(held.server_id)
-        if known and known.start_id == ctx.start_id:
-            running = max(0, known.running - 1)
-            servers[held.server_id] = known._replace(running=running, used_at=now)
 
     def _take(self, ctx: Context, view: ServerView, now: float) -> None:
         server_id, batch = view.vm.vm_id, ctx.request_class == BATCH
@@ -204,9 +190,8 @@
         key = (ctx.req.service, ctx.req.prefix)
         servers = self._prefixes.setdefault(key, {})
         self._prefixes.move_to_end(key)
-        old = servers.pop(view.vm.vm_id, None)
-        running = old.running if old and old.start_id == view.start_id else 0
-        servers[view.vm.vm_id] = _Prefix(view.start_id, running + 1, now)
+        servers.pop(view.vm.vm_id, None)
+        servers[view.vm.vm_id] = (view.start_id, now)
         while len(servers) > SERVERS_PER_PREFIX:
             del servers[next(iter(servers))]
         while len(self._prefixes) > MAX_PREFIXES:
@@ -227,11 +212,9 @@
         self, view: ServerView, ctx: Context, home: dict[str, float], now: float
     ) -> float:
         known = self._prefixes.get((ctx.req.service, ctx.req.prefix), {}).get(view.vm.vm_id)
-        expected = home.get(view.vm.vm_id, 0.0)
-        if known is None or known.start_id != view.start_id:
-            return expected
-        left = 1.0 if known.running else 1 - (now - known.used_at) / PREFIX_AGE_S
-        return max(AFFINITY * left, expected)
+        if known and known[0] == view.start_id and now - known[1] <= PREFIX_AGE_S:
+            return AFFINITY
+        return home.get(view.vm.vm_id, 0.0)
 
     def _distance(self, zone: str) -> float:
         if zone == self._zone:
--- a/src/lovageway/policies.py
+++ b/src/lovageway/policies.py
@@ -10,7 +10,7 @@
 PolicyName = Literal["memory", "least_requests", "two_choices", "round_robin"]
 
 AFFINITY = 0.2  # a cached prompt beginning outweighs this much more load, never more
-HOME_AFFINITY = (0.15, 0.1, 0.05)  # of the servers where all daemons expect the prompt's beginning
+HOME_AFFINITY = (0.1, 0.06, 0.03)  # of the servers where all daemons expect the prompt's beginning
 OTHER_ZONE_COST = 0.01
 OTHER_REGION_COST = 0.05  # traffic between regions is slow and billed by volume
 # Daemons whose views are equal would otherwise all choose the same server until the next report.
