Say for how long other copies of a refused key may still run

A refusal "not run" now carries other_submissions_may_run_s (max_wait_s plus 5 s). The Claim filter begins no claim later than max_wait_s + 3 s after the request was read, and a claim that is confirmed after its 2 s is settled as not_run, also when a stopped daemon takes the answer before its next tick.

Ruled out: refusing a re-insert after a conflict past the deadline. With it switched off no test failed, because the late confirmation is not used either; it was removed.

tests.test_claims (16 tests, 1,500 examples, "full" is a new action; the world checks each begin of a call against everything that callers were told). Protections switched off on a scratch copy, each failed: - start check in Claim: "r0 begins at 165.1, told at 100.0: until 165.0" - deadline of the confirmation: the call ran, row "done" - field absent: 3 tests, among them the hypothesis test - field 25 s too short: 2 tests, not the hypothesis test

--- a/src/lovageway/chain.py
+++ b/src/lovageway/chain.py
@@ -5,10 +5,15 @@
 
 from expression import Error, Ok, Result
 
-from lovageway.codes import Refusal
+from lovageway.codes import Code, Refusal
 from lovageway.events import Emit, Finish, Refuse, Replay, Request
 from lovageway.model import INTERACTIVE, Contract, Service
 
+# A submission waits up to 1 s for a share and 2 s for the lookup, or max_wait_s for capacity; one
+# that begins its claim later than max_wait_s plus this was held up by a daemon that stood still.
+CLAIM_START_S = 3.0
+CLAIM_END_S = CLAIM_START_S + 2.0  # a claim waits 2 s for the table service
+
 
 class Context(NamedTuple):
     """What the filters have found out about one request so far."""
@@ -199,14 +204,19 @@
     """Return the refusal without a claim of "not run" that this request's course does not bear.
 
     A filter knows only its own reason; an earlier attempt of the request, or an earlier call with
-    its key, may have run all the same.
+    its key, may have run all the same. Another copy of a keyed call may also wait at some daemon.
     """
     if refusal.effect != "no":
         return refusal
     if ctx.maybe_ran:
         return refusal._replace(ran="unknown")
-    if ctx.req.idempotency_key is not None and not ctx.lookup_done:
-        return refusal._replace(earlier="unknown")
+    if ctx.req.idempotency_key is None:
+        return refusal
+    if not ctx.lookup_done:
+        refusal = refusal._replace(earlier="unknown")
+    # A key that belongs to another body keeps every copy of this one from running.
+    if ctx.contract is not None and refusal.code != Code.IDEMPOTENCY_KEY_REUSED:
+        refusal = refusal._replace(others_s=ctx.contract.max_wait_s + CLAIM_END_S)
     return refusal
 
 
--- a/src/lovageway/controllers/claims.py
+++ b/src/lovageway/controllers/claims.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Callable
-from typing import NamedTuple
 
 from lovageway.chain import Context
 from lovageway.claimrows import (
@@ -20,6 +19,7 @@
 )
 from lovageway.codes import Code, Refusal
 from lovageway.controllers.base import Controller
+from lovageway.controllers.lookups import TABLE_WAIT_S, Lookups
 from lovageway.events import (
     Count,
     Emit,
@@ -31,7 +31,6 @@
     Transact,
 )
 
-TABLE_WAIT_S = 2.0  # a caller waits no longer than this for the lookup, and for the claim
 DOWN_RETRY_S = 5.0
 BUSY_RETRY_S = 1.0
 MAX_UNWRITTEN = 256  # no new claims beyond this, as results must not be dropped; 4 MB of answers
@@ -43,13 +42,6 @@
 NOT_RUN: tuple[Failure, ...] = ("refused", "connect")
 
 
-class Reading(NamedTuple):
-    """A lookup under way."""
-
-    until: float
-    answer: TableAnswered | None
-
-
 class Claims(Controller):
     """Owner of the claims that this daemon holds.
 
@@ -65,25 +57,14 @@
         self._node = node
         self._live = live
         self._number = 0
-        self._readings: dict[str, Reading] = {}
+        self.lookups = Lookups()
         self._claims: dict[str, Claim] = {}
         self._by_request: dict[str, str] = {}
         self._by_row: dict[str, str] = {}
         self._stops: dict[str, Stop] = {}
         self._ready: list[str] = []
 
-    # ---- lookup ---------------------------------------------------------------------------------
-
-    def look_up(self, request_id: str, row_key: str, now: float, emit: Emit) -> Reading:
-        """Return the state of the lookup and start it when there is none."""
-        if request_id not in self._readings:
-            self._readings[request_id] = Reading(now + TABLE_WAIT_S, None)
-            emit(ReadRows(f"lookup|{request_id}", (row_key, EPOCH_KEY)))
-        return self._readings[request_id]
-
-    def end_lookup(self, request_id: str) -> None:
-        """Forget a lookup."""
-        self._readings.pop(request_id, None)
+    # ---- resend ---------------------------------------------------------------------------------
 
     def local(self, row_key: str, fingerprint: str) -> Stop | None:
         """Return what a resend gets from this daemon's own claims, None to ask the table."""
@@ -186,7 +167,7 @@
 
     def closed(self, request_id: str, now: float, emit: Emit) -> None:
         """Take the end of a request; what was never sent becomes "not_run"."""
-        self.end_lookup(request_id)
+        self.lookups.end(request_id)
         self._stops.pop(request_id, None)
         claim = self.of_request(request_id)
         if claim is None or claim.phase == "writing":
@@ -205,9 +186,7 @@
 
     def tick(self, now: float, emit: Emit) -> None:
         """Write outcomes that are due and end what takes too long."""
-        for request_id, reading in list(self._readings.items()):
-            if now > reading.until + TABLE_WAIT_S:
-                del self._readings[request_id]
+        self.lookups.tick(now)
         writes = sum(claim.pending for claim in self._claims.values())
         for claim in [claim for claim in self._claims.values() if now >= claim.until]:
             if claim.phase in ("inserting", "checking"):
@@ -221,7 +200,7 @@
     def dump(self, now: float) -> dict[str, object]:
         """Return the claims that are held or wait to be written; answers are left out."""
         return {
-            "lookups": len(self._readings),
+            "lookups": len(self.lookups),
             "claims": [
                 {
                     "op_id": claim.op_id,
@@ -239,8 +218,7 @@
         """Take the answer to a lookup, an insert, a check or a background write."""
         verb, _, name = event.op_id.partition("|")
         if verb == "lookup":
-            if name in self._readings:
-                self._readings[name] = self._readings[name]._replace(answer=event)
+            if self.lookups.answered(name, event):
                 self._ready.append(name)
             return
         claim = self._claims.get(name)
@@ -267,9 +245,7 @@
     def _inserted(self, claim: Claim, event: TableAnswered, now: float, emit: Emit) -> None:
         row = event.rows.get(claim.row_key)
         if event.status != "unknown" and row is not None and self._is_own(row, claim):
-            claim = claim._replace(revision=row.revision)
-            # An insert confirmed after its deadline is settled, never used.
-            self._put(claim._replace(phase="held") if claim.phase == "inserting" else claim)
+            self._confirmed(claim._replace(revision=row.revision), now, emit)
         elif claim.phase == "writing":
             if event.status in ("conflict", "down"):
                 self._drop(claim)  # nothing was written, so there is nothing to settle
@@ -281,6 +257,19 @@
             self._put(claim._replace(phase="checking"))
             emit(ReadRows(f"check|{claim.op_id}", (claim.row_key,)))
 
+    def _confirmed(self, claim: Claim, now: float, emit: Emit) -> None:
+        """Hold a claim whose row is known; one confirmed after its deadline is settled, not used.
+
+        A daemon that stood still takes the answer before its next tick, so the deadline is compared
+        here as well.
+        """
+        if claim.phase == "writing":
+            self._put(claim)
+        elif now < claim.until:
+            self._put(claim._replace(phase="held"))
+        else:
+            self._settle(claim, {"state": "not_run"}, now, emit)
+
     def _conflict(self, claim: Claim, event: TableAnswered, emit: Emit) -> None:
         """Insert once more where the conflict allows it; the answer proves nothing was written."""
         row, epoch = event.rows.get(claim.row_key), event.rows.get(EPOCH_KEY)
@@ -301,7 +290,7 @@
     def _checked(self, claim: Claim, event: TableAnswered, now: float, emit: Emit) -> None:
         row = event.rows.get(claim.row_key)
         if event.status == "ok" and row is not None and self._is_own(row, claim):
-            self._put(claim._replace(phase="held", revision=row.revision))
+            self._confirmed(claim._replace(revision=row.revision), now, emit)
         elif event.status == "ok" and row is not None and row.revision != claim.condition:
             # The revision has moved on, so a late insert of this claim cannot take effect.
             stop = self.judge(row, claim.fingerprint)
--- a/src/lovageway/filters/idempotency.py
+++ b/src/lovageway/filters/idempotency.py
@@ -4,10 +4,11 @@
 
 from expression import Ok
 
-from lovageway.chain import Context, Filter, Verdict, Wait, stop
+from lovageway.chain import CLAIM_START_S, Context, Filter, Verdict, Wait, stop
 from lovageway.claimrows import EPOCH_KEY, read_epoch, row_key
 from lovageway.codes import Code, Refusal
-from lovageway.controllers.claims import DOWN_RETRY_S, TABLE_WAIT_S, Claims
+from lovageway.controllers.claims import DOWN_RETRY_S, Claims
+from lovageway.controllers.lookups import TABLE_WAIT_S
 from lovageway.events import Emit
 
 _KEY = re.compile(r"[!-~]{1,128}")
@@ -33,12 +34,12 @@
         key = _row_key(ctx)
         known = self._claims.local(key, ctx.req.fingerprint)
         if known is not None:
-            self._claims.end_lookup(ctx.req.request_id)
+            self._claims.lookups.end(ctx.req.request_id)
             return stop(known)
-        reading = self._claims.look_up(ctx.req.request_id, key, now, emit)
+        reading = self._claims.lookups.look_up(ctx.req.request_id, key, now, emit)
         if reading.answer is None and now < reading.until:
             return stop(Wait(_DOWN, reading.until))
-        self._claims.end_lookup(ctx.req.request_id)
+        self._claims.lookups.end(ctx.req.request_id)
         if reading.answer is None or reading.answer.status != "ok":
             return stop(_DOWN)
         rows = reading.answer.rows
@@ -50,7 +51,7 @@
 
     def abandon(self, ctx: Context, now: float, emit: Emit) -> None:
         """Forget a lookup whose request has ended."""
-        self._claims.end_lookup(ctx.req.request_id)
+        self._claims.lookups.end(ctx.req.request_id)
 
     def release(self, ctx: Context, now: float, emit: Emit) -> None:
         """Settle the claim; this filter is released only when the request ends."""
@@ -72,6 +73,10 @@
             return stop(ended)
         claim = self._claims.of_request(ctx.req.request_id)
         if claim is None:
+            assert ctx.contract is not None
+            if now > ctx.arrived + ctx.contract.max_wait_s + CLAIM_START_S:
+                # Callers of other copies were told that none runs as late as this.
+                return stop(_UNCONFIRMED)
             key = _row_key(ctx)
             refusal = self._claims.local(key, ctx.req.fingerprint)
             refusal = refusal or self._claims.insert(ctx, key, now, emit)
--- a/tests/claimworld.py
+++ b/tests/claimworld.py
@@ -6,8 +6,9 @@
 
 from expression import Ok
 
-from lovageway.chain import Chain, Context, Filter
+from lovageway.chain import Chain, Context, Filter, Wait, stop
 from lovageway.claimrows import row_key
+from lovageway.codes import Code, Refusal
 from lovageway.controllers.budgets import Budgets
 from lovageway.controllers.claims import Claims
 from lovageway.events import (
@@ -39,9 +40,14 @@
 
 
 class Choose(Filter):
-    """Stands for Routing: any server will do."""
+    """Stands for Admission and Routing: any server will do unless the daemon has no capacity."""
+
+    def __init__(self, daemon):
+        self.daemon = daemon
 
     def admit(self, ctx, now, emit):
+        if self.daemon.full and not ctx.attempt:
+            return stop(Wait(Refusal(Code.WAITED_TOO_LONG), ctx.arrived + CONTRACT.max_wait_s))
         return Ok(ctx._replace(server_id="counter-0", address="-", start_id="s"))
 
 
@@ -50,10 +56,11 @@
 
     def __init__(self, world, name):
         self.world, self.name = world, name
+        self.full = False
         self.claims = Claims(name, world.live)
         self.attempt = Attempt(Budgets())
         self.chain = Chain(
-            [Known(), Lookup(self.claims), Choose(), Claim(self.claims), self.attempt]
+            [Known(), Lookup(self.claims), Choose(self), Claim(self.claims), self.attempt]
         )
         self.paused = False
         self.outbox = []  # effects that are decided but not carried out
@@ -62,6 +69,8 @@
     def emit(self, effect):
         match effect:
             case ReadRows() | Transact() | StartAttempt():
+                if isinstance(effect, StartAttempt) and not effect.attempt:
+                    self.world.begins(effect.request_id)
                 self.outbox.append(effect)
             case Refuse() | Replay():
                 self.world.answered(effect)
@@ -70,6 +79,7 @@
         now = self.world.now
         match event:
             case Request():
+                self.world.arrived[event.request_id] = now
                 self.chain.enter(Context(event, arrived=now), now, self.emit)
             case TableAnswered():
                 self.claims.on_table(event, now, self.emit)
@@ -107,6 +117,9 @@
         self.ran = set()  # request ids that ran
         self.submissions = {}  # request id -> (key, runs of the key when it arrived)
         self.answers = {}  # request id -> Refuse or Replay
+        self.bodies = {}  # request id -> (key, fingerprint)
+        self.arrived = {}  # request id -> when its daemon read it
+        self.told = []  # (key and fingerprint, when it was said, last time of other copies)
         self.restarts = 0
         self.daemons = [Daemon(self, f"d{number}/0") for number in range(daemons)]
 
@@ -117,6 +130,7 @@
         """Send a call through a daemon and return its request id."""
         request_id = f"r{len(self.submissions)}"
         self.submissions[request_id] = (key, len(self.runs.get(key, ())))
+        self.bodies[request_id] = (key, fingerprint)
         req = Request(request_id, "", "counter-app", "refund", fingerprint, 0, 0)
         daemon = self.daemons[number % len(self.daemons)]
         daemon.inbox.append(req._replace(idempotency_key=key))
@@ -229,6 +243,15 @@
             assert [effect.answer] == runs, f"{effect} but the service gave {runs}"
         elif effect.refusal.effect == "no" and effect.refusal.earlier is None:
             assert not before, f"{effect}, but the key had run before the submission"
+        if isinstance(effect, Refuse) and effect.refusal.effect == "no":
+            last = self.now + (effect.refusal.others_s or 0.0)
+            self.told.append((self.bodies[effect.request_id], self.now, last))
+
+    def begins(self, name):
+        """Check that no caller of the key was told that this copy would not run any more."""
+        for body, at, last in self.told:
+            if body == self.bodies[name] and self.arrived[name] <= at:
+                assert self.now <= last, f"{name} begins at {self.now}, told at {at}: until {last}"
 
     def check(self):
         for key, answers in self.runs.items():
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -15,7 +15,9 @@
     st.tuples(st.just("step"), st.integers(0, 30), st.sampled_from(FAULTS)),
     st.tuples(st.just("submit"), st.integers(0, 2), st.sampled_from("ab")),
     st.tuples(
-        st.sampled_from(["pause", "crash", "gone", "wait"]), st.integers(0, 9), st.integers(0, 4)
+        st.sampled_from(["pause", "crash", "gone", "wait", "full"]),
+        st.integers(0, 9),
+        st.integers(0, 4),
     ),
 )
 
@@ -33,6 +35,8 @@
                 world.submit(number, extra)
             case "pause":
                 daemon.paused = not daemon.paused
+            case "full":
+                daemon.full = not daemon.full
             case "crash" if extra == 0:
                 world.crash(number)
             case "gone" if daemon.chain.get(f"r{extra}") is not None:
@@ -48,12 +52,13 @@
     def test_no_fault_between_two_steps_runs_a_key_twice_or_makes_a_refusal_untrue(
         self, actions, daemons
     ):
-        # Guards against a second run, a false "ran: no" and an altered stored answer; `World`
-        # asserts each of them whenever a caller is answered.
+        # Guards against a second run, a false "ran: no", an altered stored answer and a copy that
+        # begins later than a caller of its key was told; `World` asserts each when it happens.
         world = World(daemons)
         play(world, actions)
         for daemon in world.daemons:
-            daemon.paused = False
+            daemon.paused = daemon.full = False
+        world.advance(0.0)
         world.settle()
         world.check()
         # Guards against rows that stay "sent" although their holder lives.
@@ -73,7 +78,7 @@
                 self.assertTrue(name in world.ran or answer == Replay(name, stored), answer)
 
 
-class Resend(unittest.TestCase):
+class Driven(unittest.TestCase):
     def drive(self, world, until):
         for _ in range(100):
             if until():
@@ -84,6 +89,8 @@
     def refusal(self, world, name):
         return world.answers[name].refusal
 
+
+class Resend(Driven):
     def running(self):
         """Return a world in which the service runs the call of daemon 0."""
         world = World(2)
@@ -230,3 +237,50 @@
         name = world.submit(1, "a")
         world.settle()
         self.assertEqual(world.answers[name], Replay(name, f"answer of {first}"))
+
+
+class OtherCopies(Driven):
+    def waiting(self):
+        """Return a world in which a copy waits at daemon 0 and daemon 1 has refused another."""
+        world = World(2)
+        world.daemons[0].full = True
+        copy = world.submit(0, "a")
+        self.drive(world, lambda: not world.steps())
+        refused = world.submit(1, "a")
+        self.drive(world, lambda: any("claim|" in call.op_id for _, call in world.calls))
+        while refused not in world.answers:
+            world.steps()[0]("down")
+        return world, copy, self.refusal(world, refused)
+
+    def test_a_refusal_says_for_how_long_a_waiting_copy_may_still_run(self):
+        # Guards against "not run" without a word of a copy that runs a moment later.
+        world, copy, refusal = self.waiting()
+        self.assertEqual((refusal.effect, refusal.earlier, refusal.others_s), ("no", None, 65.0))
+        world.daemons[0].full = False
+        world.advance(50.0)
+        world.settle()
+        self.assertIn(copy, world.ran)
+
+    def test_a_copy_whose_daemon_stood_still_does_not_run_after_that_time(self):
+        # Guards against a copy that leaves the queue of a stopped daemon after the time told.
+        world, copy, refusal = self.waiting()
+        world.daemons[0].paused = True
+        world.advance(refusal.others_s + 0.1)
+        world.daemons[0].paused = world.daemons[0].full = False
+        world.advance(0.0)
+        world.settle()
+        self.assertEqual((world.ran, self.refusal(world, copy).effect), (set(), "no"))
+
+    def test_a_claim_confirmed_while_the_daemon_stood_still_is_not_used(self):
+        # Guards against a send under a claim whose caller's bounded wait is over.
+        world = World(2)
+        name = world.submit(0, "a")
+        self.drive(world, lambda: any("claim|" in call.op_id for _, call in world.calls))
+        world.daemons[0].paused = True
+        world.steps()[0]("none")
+        world.advance(100.0)
+        world.daemons[0].paused = False
+        world.settle()
+        self.assertEqual((world.ran, world.state_of("a")), (set(), "not_run"))
+        self.assertEqual(self.refusal(world, name).code, Code.CLAIM_UNKNOWN)
+        self.assertEqual(self.refusal(world, name).effect, "no")
