Prove claims against daemons stopped between claim and send

Real processes, the ledger of the plain stand-in as judge: a copy in one daemon's queue while another refuses the key (told 8 s, ran within it); a daemon stopped while the answer to its claim is held by a proxy (capacity is taken by then); a daemon stopped while its call is held on the way to the service. standins/proxy.py holds the one request that contains given bytes, or its answer.

--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -13,7 +13,8 @@
 
     Modes: "pass"; "cut" closes every connection and refuses new ones; "freeze" holds every byte
     until the mode changes; "lose_answers" forwards what the client sends, waits for the first byte
-    of the answer and closes the connection in its place. `delay_s` delays every chunk.
+    of the answer and closes the connection in its place. `delay_s` delays every chunk. `hold` stops
+    the one request that contains some bytes, or its answer, until `release`.
     """
 
     def __init__(self, target):
@@ -24,6 +25,9 @@
         self.changed = threading.Condition()
         self.open = set()
         self.frozen = set()
+        self.marker = b""
+        self.hold_answer = False
+        self.held = threading.Event()
         self.bytes_to_target = 0
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.address = "{}:{}".format(*self.listener.getsockname())
@@ -51,6 +55,19 @@
         with self.changed:
             self.frozen |= self.open
 
+    def hold(self, marker, answer):
+        """Hold the next request that contains `marker`, or its answer alone; others pass."""
+        with self.changed:
+            self.held.clear()
+            self.marker, self.hold_answer = marker, answer
+
+    def release(self):
+        """Let what was held pass."""
+        with self.changed:
+            self.marker = b""
+            self.frozen.clear()
+            self.changed.notify_all()
+
     def cut_now(self):
         """Close the connections that are open and let new ones pass."""
         self.set_mode("cut")
@@ -88,6 +105,10 @@
         with contextlib.suppress(OSError):
             while data := source.recv(CHUNK):
                 with self.changed:
+                    if not answers and self.marker and self.marker in data:
+                        self.marker = b""
+                        self.frozen.add(sink if self.hold_answer else source)
+                        self.held.set()
                     self.changed.wait_for(lambda: not self._holds(source))
                 if self.mode == "cut" or (answers and self.mode == "lose_answers"):
                     break
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -41,6 +41,21 @@
     return resp.status, json.loads(resp.data)
 
 
+def begin(daemon, key, send=call):
+    """Send a call on a thread of its own; returns the thread and the list of its answer."""
+    answers = []
+
+    def run():
+        try:
+            answers.append(send(daemon, key))
+        except Exception as exc:
+            answers.append(exc)
+
+    thread = threading.Thread(target=run)
+    thread.start()
+    return thread, answers
+
+
 def code(answer):
     return answer[1]["error"]["code"] if "error" in answer[1] else None
 
@@ -85,16 +100,7 @@
     def start(self, daemon, key):
         """Begin a call that stays at the service for a while; returns its thread and answers."""
         post(self.plain.address, "/control", {"delay_s": 3})
-        answers = []
-
-        def run():
-            try:
-                answers.append(call(daemon, key))
-            except Exception as exc:
-                answers.append(exc)
-
-        thread = threading.Thread(target=run)
-        thread.start()
+        thread, answers = begin(daemon, key)
         wait_for(lambda: self.effects(key), "the call at the service")
         post(self.plain.address, "/control", {"delay_s": 0})
         return thread, answers
@@ -102,8 +108,8 @@
     def row(self, key):
         return self.platform()["rows"].get(f"claim/clerks/{key}", {})
 
-    def extra_daemon(self, name):
-        daemon = self.fleet.daemon(name, "gobi")
+    def extra_daemon(self, name, **options):
+        daemon = self.fleet.daemon(name, "gobi", **options)
         self.fleet.publish_vms()
         self.fleet.wait_ready()
         self.see_each_other()
@@ -201,6 +207,55 @@
         self.assertEqual(len(self.effects("stopped")), 1)
         self.assertEqual(victim.stop(), 0)
 
+    def resend_while_stopped(self, victim, key):
+        """Stop a daemon that holds a claim and send the key through another one."""
+        victim.signal(signal.SIGSTOP)
+        self.assertEqual(self.row(key)["state"], "sent")
+        while code(answer := call(self.two, key)) == Code.IN_PROGRESS:
+            self.assertEqual(answer[1]["error"]["ran"], "unknown")
+            time.sleep(0.1)
+        error = answer[1]["error"]
+        self.assertEqual((error["code"], error["ran"]), (Code.OUTCOME_UNKNOWN, "unknown"))
+        self.assertEqual(self.effects(key), [])
+
+    def test_a_daemon_stopped_between_claim_and_send_does_not_send_late(self):
+        # Guards against a takeover of the claim, and against a call that begins after its caller's
+        # bounded wait. The daemon has taken capacity for the call before it claims.
+        victim = self.extra_daemon("entry-4", proxied=True)
+        table = self.fleet.links["entry-4"][0]
+        self.assertEqual(call(victim, "before")[0], 200)
+        table.hold(b'"claim|', answer=True)
+        thread, answers = begin(victim, "stopped-claim")
+        self.assertTrue(table.held.wait(WAIT_TIMEOUT_S))
+        wait_for(lambda: self.row("stopped-claim"), "the claim's row")
+        self.resend_while_stopped(victim, "stopped-claim")
+        table.release()  # the answer is in the daemon's socket when it continues
+        victim.signal(signal.SIGCONT)
+        thread.join()
+        self.assertEqual(code(answers[0]), Code.CLAIM_UNKNOWN)
+        self.assertEqual(answers[0][1]["error"]["ran"], "no")
+        self.assertEqual(self.effects("stopped-claim"), [])
+        wait_for(lambda: self.row("stopped-claim")["state"] == "not_run", "the row")
+        self.assertEqual(call(self.two, "stopped-claim")[0], 200)
+        self.assertEqual(len(self.effects("stopped-claim")), 1)
+        # Guards against capacity that is still held for the call.
+        self.assertEqual(call(victim, "after")[0], 200)
+
+    def test_a_daemon_stopped_in_the_send_runs_the_call_once(self):
+        # Guards against a second run while a call is on its way between daemon and service.
+        victim = self.extra_daemon("entry-5")
+        self.proxy.hold(b"stopped-send", answer=False)
+        thread, answers = begin(victim, "stopped-send")
+        self.assertTrue(self.proxy.held.wait(WAIT_TIMEOUT_S))
+        self.resend_while_stopped(victim, "stopped-send")
+        self.proxy.release()
+        wait_for(lambda: self.effects("stopped-send"), "the call at the service")
+        victim.signal(signal.SIGCONT)
+        thread.join()
+        self.assertEqual(answers[0][0], 200)
+        wait_for(lambda: call(self.two, "stopped-send") == answers[0], "the stored answer")
+        self.assertEqual(len(self.effects("stopped-send")), 1)
+
     def test_an_answer_of_the_service_that_is_lost_is_not_asked_for_again(self):
         # Guards against a retry of a call that may have run.
         self.proxy.set_mode("lose_answers")
@@ -245,3 +300,42 @@
             stored = call(self.one, key)
             self.assertEqual([item for item in pair if item[0] == 200 and item != stored], [])
         self.assertEqual(code(call(self.two, "race-0", jar=2)), Code.IDEMPOTENCY_KEY_REUSED)
+
+
+class OtherCopies(unittest.TestCase):
+    def test_a_refusal_names_the_time_in_which_a_copy_in_another_queue_runs(self):
+        # Guards against "not run" without a word of a copy that another daemon's queue still holds.
+        fleet = self.enterContext(Fleet())
+        plain = fleet.backend("counter-0", "counter-app", "gobi", "plain")
+        one, two = (fleet.daemon(f"entry-{number}", "gobi") for number in range(2))
+        rows = jar_returns_rows()
+        rows["service/counter-app"].update(cold_slots=1, full_slots=1)
+        rows["contract/clerks"]["max_wait_s"] = 3.0
+        fleet.write_configuration(rows)
+        fleet.publish_vms()
+        fleet.wait_ready()
+
+        def effects(key):
+            ledger = json.loads(http.request("GET", f"http://{plain.address}/ledger").data)
+            return [effect for effect in ledger["effects"] if effect["key"] == key]
+
+        for number, daemon in enumerate((one, two)):
+            self.assertEqual(call(daemon, f"warm-{number}")[0], 200)
+        post(plain.address, "/control", {"delay_s": 4})
+        block, _ = begin(one, "block")
+        wait_for(lambda: effects("block"), "the only slot in use")
+        post(plain.address, "/control", {"delay_s": 0})
+        refused, answers = begin(two, "copy", send=call_once)
+        time.sleep(2)  # the wait of 3 s of this copy ends after the block, that of the other before
+        copy, copied = begin(one, "copy", send=call_once)
+        refused.join()
+        told = time.monotonic()
+        error = answers[0][1]["error"]
+        self.assertEqual((error["code"], error["ran"]), (Code.WAITED_TOO_LONG, "no"))
+        self.assertNotIn("earlier_submissions", error)
+        self.assertEqual(effects("copy"), [])
+        copy.join()
+        block.join()
+        self.assertEqual((copied[0][0], len(effects("copy"))), (200, 1))
+        self.assertEqual(error["other_submissions_may_run_s"], 8.0)
+        self.assertLess(time.monotonic() - told, error["other_submissions_may_run_s"])
