Let a marked request wait for the marks of copies that died with it

Each daemon retried on its own mark alone before those of the others arrived. A marked request now runs again only when its last mark is 0.1 s old (8 ms between regions, ticks of 50 ms). An innocent request whose server died before output waits 0.1 to 0.15 s longer for its retry.

The case was found by reasoning and with a paused clock.

Changed tests: Fleet.run and two tests of tests/test_poison.py let 0.1 s pass after a loss, because the request is not admitted earlier any more; what they assert is unchanged.

--- a/src/lovageway/controllers/poison.py
+++ b/src/lovageway/controllers/poison.py
@@ -21,6 +21,9 @@
 MARK_S = 600.0
 SUSPECT_S = 8.0  # a peer's suspicion lapses unless the peer confirms it
 UNREACHABLE_S = 3.0
+# A marked request waits this long before it runs again: copies that died at the same moment must
+# know of each other first. Marks cross regions in 8 ms.
+SETTLE_S = 0.1
 PROBE_INTERVAL_S = 0.5
 # A report that was under way when the server died can arrive until this much later.
 STALE_REPORT_S = 1.0
@@ -42,6 +45,7 @@
 
     dead: bool
     until: float
+    since: float
 
 
 class Suspect(NamedTuple):
@@ -80,6 +84,11 @@
         dead = sum(mark.dead for mark in found)
         return dead, len(found) - dead
 
+    def settled_at(self, fingerprint: str) -> float:
+        """Return when the marks of other copies that died with the last one must be known."""
+        marks = self._marks.get(fingerprint, {}).values()
+        return max((mark.since for mark in marks), default=0.0) + SETTLE_S
+
     def runs(self) -> set[Run]:
         """Return the runs of servers that have ended, or may have."""
         return {run for marks in self._marks.values() for run in marks}
@@ -208,7 +217,7 @@
         before = self._marks.get(name, {}).get(run)
         if before is not None and (before.dead or not dead):
             return
-        self._set(name, run, Mark(dead, now + MARK_S))
+        self._set(name, run, Mark(dead, now + MARK_S, before.since if before else now))
         if dead:
             emit(Count("poison_marks"))
             if self.marks(name, now)[0] == 2:
@@ -220,9 +229,9 @@
         if state == "alive":
             self._forget(name, run)
         elif state == "dead" and not (before and before.dead):
-            self._set(name, run, Mark(True, now + MARK_S))
+            self._set(name, run, Mark(True, now + MARK_S, before.since if before else now))
         elif state == "suspect" and before is None:
-            self._set(name, run, Mark(False, now + SUSPECT_S))
+            self._set(name, run, Mark(False, now + SUSPECT_S, now))
 
     def _set(self, name: str, run: Run, mark: Mark) -> None:
         self._marks.setdefault(name, {})[run] = mark
--- a/src/lovageway/filters/poison.py
+++ b/src/lovageway/filters/poison.py
@@ -19,6 +19,7 @@
 # A marked request that has run this long with output no longer keeps others off its server;
 # otherwise the long generations of one dead server would queue for hours.
 PROBATION_S = 10.0
+SETTLE_MARGIN_S = 1.0  # for the tick that ends the wait for marks of other copies
 
 
 class _Alone(NamedTuple):
@@ -56,11 +57,17 @@
             return stop(Refusal(Code.ATTEMPT_FAILED, detail, CHECK_RETRY_S, ran))
         if not dead + suspect:
             return Ok(ctx._replace(only=""))
+        assert ctx.contract is not None
+        until = ctx.arrived + ctx.contract.max_wait_s
+        settled_at = self._poison.settled_at(name)
+        if now < settled_at:
+            # A long generation that has lost its server may be older than its contract's wait.
+            refusal = Refusal(Code.NO_SERVER, retry_after_s=NO_SERVER_RETRY_S)
+            return stop(Wait(refusal, max(until, settled_at + SETTLE_MARGIN_S)))
         free = self._free(ctx._replace(only=""), now)
         if not free or any(item.fingerprint == name for item in self._alone.values()):
-            assert ctx.contract is not None
             refusal = Refusal(Code.NO_SERVER, "A marked request runs alone.", NO_SERVER_RETRY_S)
-            return stop(Wait(refusal, ctx.arrived + ctx.contract.max_wait_s))
+            return stop(Wait(refusal, until))
         chosen = min(free, key=lambda view: (view.in_flight, view.vm.vm_id)).vm.vm_id
         self._alone[chosen] = _Alone(ctx.req.request_id, name, now)
         return Ok(ctx._replace(only=chosen))
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -9,7 +9,7 @@
 from lovageway.chain import Context, Wait
 from lovageway.codes import Code
 from lovageway.controllers.backends import ServerView
-from lovageway.controllers.poison import MAX_FINGERPRINTS, Poison, fingerprint
+from lovageway.controllers.poison import MAX_FINGERPRINTS, SETTLE_S, Poison, fingerprint
 from lovageway.events import AttemptFailed, ReadLoad, Request, SendPeer
 from lovageway.filters.poison import Quarantine
 from lovageway.messages import PoisonMark, ServerProbe, ServerSeen, decode, encode
@@ -111,6 +111,7 @@
             self.deaths += 1
             self.start_ids[server] += 1
             self.deliver()
+            self.advance(SETTLE_S, SETTLE_S)  # a marked request does not run again before
         return None
 
 
@@ -128,6 +129,29 @@
         fleet.advance(601.0, 5.0)
         self.assertTrue(all(fleet.admit(daemon, "bad").is_ok() for daemon in fleet.daemons))
 
+    def test_copies_that_die_at_once_do_not_run_again_before_they_know_of_each_other(self):
+        # Guards against retries within one message delay, which cost a server for each daemon.
+        fleet = Fleet()
+        copies = [fleet.admit(daemon, f"bad#{n}").ok for n, daemon in enumerate(fleet.daemons)]
+        pairs = list(zip(fleet.daemons, copies, strict=True))
+        lost = [fleet.lose(daemon, ctx, SERVERS[n]) for n, (daemon, ctx) in enumerate(pairs)]
+        for daemon, ctx in zip(fleet.daemons, lost, strict=True):
+            self.assertIsInstance(fleet.admit(daemon, "", ctx).error, Wait)
+        fleet.advance(SETTLE_S)
+        for daemon, ctx in zip(fleet.daemons, lost, strict=True):
+            self.assertEqual(fleet.admit(daemon, "", ctx).error.code, Code.ATTEMPT_FAILED)
+
+    def test_a_request_that_is_alone_with_its_mark_runs_again_after_the_wait(self):
+        # Guards against a wait for marks that refuses a request older than its contract's wait.
+        fleet = Fleet()
+        ctx = fleet.admit(fleet.daemons[0], "good").ok
+        fleet.advance(100.0, 5.0)
+        ctx = fleet.lose(fleet.daemons[0], ctx, "crock-0")
+        wait = fleet.admit(fleet.daemons[0], "", ctx).error
+        self.assertGreater(wait.until, fleet.now + SETTLE_S)
+        fleet.advance(SETTLE_S)
+        self.assertTrue(fleet.admit(fleet.daemons[0], "", ctx).is_ok())
+
     @settings(derandomize=True, deadline=None, max_examples=200)
     @given(
         st.integers(0, 3),
@@ -226,6 +250,7 @@
     def test_a_daemon_that_does_not_count_itself_as_live_serves_marked_requests(self):
         # Guards against an error in a daemon that leaves while it still serves.
         self.mark("good")
+        self.fleet.advance(SETTLE_S)
         self.one.live = lambda: [self.two, self.three]
         self.assertIn(self.fleet.admit(self.one, "good").ok.only, SERVERS)
 
@@ -233,6 +258,7 @@
         # Guards against poison that stops the service for others.
         for name in ("bad", "bad"):
             self.mark(name)
+            self.fleet.advance(SETTLE_S, SETTLE_S)
         verdict = self.fleet.admit(self.one, "good")
         self.assertEqual(verdict.ok.only, "")
 
