Send lines of shares in a short form and halve the tag of frames

Safety: amounts are rounded down in the ledger before they are counted, so owner and holder have the same number. The simulated fleet of tests.test_shares now sends every message through encode and decode. A grant without a name is matched by its sequence number, which no other line of the process has; the numbers of another process at the same address begin elsewhere.

--- a/src/lovageway/adapters/peers.py
+++ b/src/lovageway/adapters/peers.py
@@ -3,8 +3,8 @@
 A frame is its length in 4 bytes, then that many bytes. In the handshake these are msgpack: the
 dialling side sends ``{"node", "address", "key", "nonce"}``, where "key" identifies the peer key it
 uses; the listening side answers ``{"nonce", "proof"}``; the dialling side proves the key too. Each
-further frame is an HMAC-SHA256 of the frame's number and the message, then the message. Its key is
-derived from the peer key, the dialling side's name and both nonces. A replayed, altered or
+further frame is half of an HMAC-SHA256 of the frame's number and the message, then the message. Its
+key is derived from the peer key, the dialling side's name and both nonces. A replayed, altered or
 reordered frame ends the connection, and so does a name that was altered on the way.
 """
 
@@ -24,7 +24,9 @@
 from lovageway.messages import MAX_MESSAGE_BYTES, BadMessageError, Message, decode, encode
 
 LENGTH_BYTES = 4
-MAC_BYTES = 32
+# A frame's tag is the first half of its HMAC-SHA256 (RFC 2104, section 5). A frame with a wrong tag
+# ends the connection, whose key is then gone: an attacker has one try in 2**128 for each handshake.
+MAC_BYTES = 16
 MAX_FRAME_BYTES = MAX_MESSAGE_BYTES + MAC_BYTES
 READ_BYTES = 65536
 HELLO_BYTES = 1024  # of each handshake frame; node and address are short
@@ -351,7 +353,7 @@
 
 def seal(session: bytes, seq: int, body: bytes) -> bytes:
     """Return the frame with number `seq` on a connection."""
-    return _frame(mac(session, seq.to_bytes(8, "big") + body) + body)
+    return _frame(_tag(session, seq, body) + body)
 
 
 def unseal(session: bytes, seq: int, frame: bytes) -> bytes:
@@ -363,10 +365,14 @@
         If the frame is malformed, out of sequence or not signed with the session key.
     """
     tag, body = frame[:MAC_BYTES], frame[MAC_BYTES:]
-    if not hmac.compare_digest(tag, mac(session, seq.to_bytes(8, "big") + body)):
+    if not hmac.compare_digest(tag, _tag(session, seq, body)):
         raise BadMessageError("frame out of sequence or not signed by a peer")
     return body
 
 
+def _tag(session: bytes, seq: int, body: bytes) -> bytes:
+    return mac(session, seq.to_bytes(8, "big") + body)[:MAC_BYTES]
+
+
 def _frame(data: bytes) -> bytes:
     return len(data).to_bytes(LENGTH_BYTES, "big") + data
--- a/src/lovageway/controllers/backends.py
+++ b/src/lovageway/controllers/backends.py
@@ -73,6 +73,7 @@
     """
 
     kinds: tuple[Kind, ...] = ("held", "held")
+    tells_limits = True
 
     def __init__(
         self, membership: Membership, configuration: Configuration, shares: Shares
--- a/src/lovageway/controllers/holding.py
+++ b/src/lovageway/controllers/holding.py
@@ -1,11 +1,13 @@
 """Holder side of one shared resource: what this daemon may use, uses and needs."""
 
+import math
 from collections.abc import Sequence
 from typing import NamedTuple
 
+from lovageway._amounts import coarse
 from lovageway.controllers.ledger import BURST_S, Kind
 from lovageway.controllers.ownership import GRANT_S
-from lovageway.messages import GrantLine, HeldGrant, ShareLine
+from lovageway.messages import SAME_START, GrantLine, HeldGrant, ShareLine
 
 UNMET_S = 0.5  # a request that found no share counts as need for this time
 MAX_UNMET = 1000
@@ -30,6 +32,7 @@
     at: float
     wanted: tuple[float, ...]
     burst: tuple[float, ...]
+    start_id: str
 
 
 class _Unmet(NamedTuple):
@@ -158,15 +161,20 @@
         self._update_rates(now)
         unmet = self._live_unmet(now)
         wanted = tuple(
-            self._need(part, kind, unmet[part], now) for part, kind in enumerate(self.kinds)
+            coarse(self._need(part, kind, unmet[part], now), math.ceil)
+            for part, kind in enumerate(self.kinds)
         )
         burst = tuple(
-            max(0.0, unmet[part] - max(0.0, self._levels[part])) if kind == "rate" else 0.0
+            (
+                coarse(max(0.0, unmet[part] - max(0.0, self._levels[part])), math.ceil)
+                if kind == "rate"
+                else 0.0
+            )
             for part, kind in enumerate(self.kinds)
         )
         burst = burst if any(burst) else ()
         self._sent = {key: sent for key, sent in self._sent.items() if now - sent.at < GRANT_S}
-        self._sent[seq] = _Sent(owner, now, wanted, burst)
+        self._sent[seq] = _Sent(owner, now, wanted, burst, self.start_id)
         self._asked_at = now
         self.urgent = False
         confirmed = self._order[1] if self._owner == owner else 0
@@ -181,7 +189,8 @@
         if sent is None or sent.owner != sender or order <= self._order:
             return False
         expires = sent.at + GRANT_S
-        columns = (line.amounts, line.limits, line.committed, line.burst or self._zero)
+        columns = [line.amounts, line.burst or self._zero]
+        columns += [column for column in (line.limits, line.committed) if column]
         if expires <= now or any(len(column) != len(self.kinds) for column in columns):
             return False
         self._fill(now)
@@ -201,8 +210,9 @@
             )
         )
         self._owner, self._order, self.expires = sender, order, expires
-        self.amounts, self.limits, self.committed = line.amounts, line.limits, line.committed
-        self.start_id = line.start_id
+        self.amounts = line.amounts
+        self.limits, self.committed = line.limits or self._zero, line.committed or self._zero
+        self.start_id = sent.start_id if line.start_id == SAME_START else line.start_id
         return True
 
     def dump(self, now: float) -> dict[str, object]:
--- a/src/lovageway/controllers/ledger.py
+++ b/src/lovageway/controllers/ledger.py
@@ -4,8 +4,9 @@
 from collections.abc import Sequence
 from typing import Literal, NamedTuple
 
+from lovageway._amounts import coarse
 from lovageway.controllers.ownership import DRIFT, GRANT_S
-from lovageway.messages import GrantLine, HeldGrant, ShareLine
+from lovageway.messages import SAME_START, GrantLine, HeldGrant, ShareLine
 
 Kind = Literal["held", "rate"]
 """held: whole amounts that are taken and given back; rate: amounts for each second."""
@@ -42,6 +43,7 @@
     burst: tuple[float, ...]
     grants: tuple[_Grant, ...]  # those that the holder may still put in force, the last one last
     committed: tuple[float, ...]
+    start_id: str = ""  # as the holder knows it
 
 
 class Ledger:
@@ -85,7 +87,16 @@
             for grant in (old.grants if old else ())
             if grant.number >= line.confirmed and grant.expires > now
         )
-        entry = _Entry(line.seq, now, line.in_use, line.wanted, line.burst, grants, self._zero)
+        entry = _Entry(
+            line.seq,
+            now,
+            line.in_use,
+            line.wanted,
+            line.burst,
+            grants,
+            self._zero,
+            line.start_id,
+        )
         self._put(node, entry, now)
         self.short.add(node)  # until a grant meets its need
         self._dirty = True
@@ -106,7 +117,7 @@
             # May be less than what is in use: after a gap the rest may be in use elsewhere. The
             # holder then starts nothing until enough has ended.
             amount = min(target[part], free)
-            amounts.append(float(math.floor(amount)) if kind == "held" else amount)
+            amounts.append(float(math.floor(amount)) if kind == "held" else coarse(amount))
         if any(a < 0.95 * w for a, w in zip(amounts, entry.wanted, strict=True)):
             self.short.add(node)
         else:
@@ -127,7 +138,7 @@
             limit.amounts,
             tuple(committed),
             burst,
-            limit.start_id,
+            SAME_START if limit.start_id and limit.start_id == entry.start_id else limit.start_id,
         )
 
     def rebalance(self, limit: Limit, now: float) -> list[str]:
--- a/src/lovageway/controllers/shares.py
+++ b/src/lovageway/controllers/shares.py
@@ -1,5 +1,6 @@
 """Shares of limits: this daemon as owner of some resources and as holder of others."""
 
+import hashlib
 from collections.abc import Sequence
 
 from lovageway.controllers.base import Controller
@@ -31,6 +32,7 @@
     """Knows the limits of one kind of resource ("PREFIX:NAME")."""
 
     kinds: tuple[Kind, ...] = ()
+    tells_limits = False  # to holders, with what is committed of them
 
     def limit(self, name: str, now: float) -> Limit | None:
         """Return the limit as of now, None when nothing may be granted."""
@@ -61,7 +63,8 @@
         self._handovers = Handovers(self.ownership, self._ledgers, self._holdings)
         self._epoch = float("inf")
         self._urgent: set[str] = set()
-        self._seq = 0
+        self._seq = first_seq(membership.node)
+        self._asked: dict[int, tuple[str, float]] = {}  # seq -> resource, time
         self._next_batch = 0.0
         self._next_rebalance = 0.0
         self._budget = float(LINES_PER_S)
@@ -154,7 +157,7 @@
                 granted = self._serve(sender, lines, now)
                 if granted:
                     emit(Count("grant_lines", amount=len(granted)))
-                    emit(SendPeer(address, ShareGrant(tuple(granted))))
+                    emit(SendPeer(address, self._short(granted)))
             case ShareGrant(lines):
                 self._accept(sender, lines, now)
             case HandoverRequest():
@@ -254,7 +257,16 @@
             address = self.ownership.address(node)
             if address:
                 emit(Count("grant_lines", amount=len(lines)))
-                emit(SendPeer(address, ShareGrant(tuple(lines))))
+                emit(SendPeer(address, self._short(lines)))
+
+    def _short(self, lines: Sequence[GrantLine]) -> ShareGrant:
+        """Return a message without what the holder knows or does not use."""
+        short = []
+        for line in lines:
+            told = self._source(line.resource).tells_limits
+            bare = line if told else line._replace(limits=(), committed=())
+            short.append(bare._replace(resource=""))
+        return ShareGrant(tuple(short))
 
     def _told_age(self, resource: str, start_id: str, age_s: int, now: float) -> None:
         source = self._find_source(resource)
@@ -296,6 +308,7 @@
             holding = self._holdings[resource]
             age = source.age(resource.partition(":")[2], holding.start_id, now)
             self._seq += 1
+            self._asked[self._seq] = (resource, now)
             line = holding.line(resource, self._seq, owner, age, now)
             by_owner.setdefault(owner, []).append(line)
         for owner, lines in by_owner.items():
@@ -312,13 +325,17 @@
 
     def _accept(self, sender: str, lines: Sequence[GrantLine], now: float) -> None:
         for line in lines:
-            holding = self._holdings.get(line.resource)
+            asked = self._asked.get(line.seq)
+            if asked is None or line.resource not in ("", asked[0]):
+                continue
+            holding = self._holdings.get(asked[0])
             if holding is not None and holding.accept(sender, line, now):
                 self._improved = True
                 if holding.urgent:
-                    self._urgent.add(line.resource)
+                    self._urgent.add(asked[0])
 
     def _drop_unused(self, now: float) -> None:
+        self._asked = {seq: item for seq, item in self._asked.items() if now - item[1] < GRANT_S}
         for resource, holding in list(self._holdings.items()):
             if holding.unused(now):
                 del self._holdings[resource]
@@ -339,3 +356,12 @@
 
     def _find_source(self, resource: str) -> Source | None:
         return self._sources.get(resource.partition(":")[0])
+
+
+def first_seq(node: str) -> int:
+    """Return where the sequence numbers of a daemon's lines begin.
+
+    Grants name no resource. A daemon that was restarted at the same address must not take a late
+    grant to its predecessor for an answer to one of its own lines.
+    """
+    return int.from_bytes(hashlib.blake2b(node.encode(), digest_size=4).digest()) >> 1
--- a/src/lovageway/messages.py
+++ b/src/lovageway/messages.py
@@ -4,16 +4,22 @@
 `decode` checks every field against its type, so a malformed message never reaches a controller.
 """
 
-from typing import Annotated, Literal, NamedTuple
+from collections.abc import Iterator
+from typing import Annotated, Any, Literal, NamedTuple
 
 import msgpack  # type: ignore[import-untyped]
 import msgspec
 
+from lovageway._amounts import restore, shorten
+
 MAX_MESSAGE_BYTES = 1 << 20
 
 Natural = Annotated[int, msgspec.Meta(ge=0)]
 # The upper bound keeps infinity out; the lower one also keeps NaN out.
 Age = Annotated[float, msgspec.Meta(ge=-1, le=1e12)]
+Amounts = tuple[Annotated[float, msgspec.Meta(ge=-1e15, le=1e15)], ...]  # one for each part
+
+SAME_START = "\0"  # cannot occur in a start identity, which travels in a header
 
 
 class Member(NamedTuple):
@@ -123,10 +129,10 @@
 
     resource: str
     seq: int  # rises with each request of this holder
-    in_use: tuple[float, ...]
-    wanted: tuple[float, ...]  # in all, what is in use included
+    in_use: Amounts
+    wanted: Amounts  # in all, what is in use included
     confirmed: int  # number of the addressee's last grant put in force, 0: none
-    burst: tuple[float, ...] = ()  # tokens for requests that wait for a rate now
+    burst: Amounts = ()  # tokens for requests that wait for a rate now
     start_id: str = ""  # of the backend server as the holder knows it
     age_s: int = 0  # for how long the holder has known `start_id`
 
@@ -140,14 +146,14 @@
 class GrantLine(NamedTuple):
     """Grant of one resource."""
 
-    resource: str
+    resource: str  # "" between daemons: `seq` tells, since each line of a holder has its own
     seq: int  # of the request answered
     number: int  # rises with each grant of this owner
-    amounts: tuple[float, ...]
-    limits: tuple[float, ...]  # of the resource as a whole
-    committed: tuple[float, ...]  # to all holders together, as the owner knows it
-    burst: tuple[float, ...] = ()  # tokens to be added once to the buckets of rates
-    start_id: str = ""  # identity of the backend server, "" for accounts
+    amounts: Amounts
+    limits: Amounts = ()  # of the resource as a whole; left out for accounts
+    committed: Amounts = ()  # to all holders together, as the owner knows it; left out likewise
+    burst: Amounts = ()  # tokens to be added once to the buckets of rates
+    start_id: str = ""  # of the backend server, SAME_START: as in the request, "" for accounts
 
 
 class ShareGrant(NamedTuple):
@@ -279,10 +285,35 @@
 
 def encode(message: Message) -> bytes:
     """Return the message's bytes."""
-    data: bytes = msgpack.packb([_NUMBERS[type(message)], *message])
+    fields: tuple[object, ...] = message
+    if isinstance(message, ShareRequest | ShareGrant):
+        fields = ([_shorten(line) for line in message.lines],)
+    data: bytes = msgpack.packb([_NUMBERS[type(message)], *fields])
     return data
 
 
+def _shorten(line: ShareLine | GrantLine) -> list[object]:
+    """Return the line's fields with short amounts and without defaults at its end."""
+    fields: list[object] = [shorten(item) if isinstance(item, tuple) else item for item in line]
+    required = len(line) - len(line._field_defaults)
+    while len(fields) > required and not fields[-1]:
+        fields.pop()
+    return fields
+
+
+def _restore(message: Message) -> Message:
+    match message:
+        case ShareRequest(lines):
+            return ShareRequest(tuple(ShareLine(*_restore_fields(line)) for line in lines))
+        case ShareGrant(grants):
+            return ShareGrant(tuple(GrantLine(*_restore_fields(line)) for line in grants))
+    return message
+
+
+def _restore_fields(line: ShareLine | GrantLine) -> Iterator[Any]:
+    return (restore(item) if isinstance(item, tuple) else item for item in line)
+
+
 def decode(data: bytes) -> Message:
     """Return the message in `data`.
 
@@ -299,7 +330,7 @@
         kind, *fields = msgpack.unpackb(data, strict_map_key=True)
         if not isinstance(kind, int) or not 0 <= kind < len(KINDS):
             raise BadMessageError(f"unknown message kind {kind!r}")
-        return msgspec.convert(fields, KINDS[kind])
+        return _restore(msgspec.convert(fields, KINDS[kind]))
     except BadMessageError:
         raise
     except Exception as exc:  # msgpack raises many kinds of errors on hostile input
--- a/tests/sharing.py
+++ b/tests/sharing.py
@@ -5,7 +5,7 @@
 from lovageway.controllers.ledger import Limit
 from lovageway.controllers.shares import Shares, Source
 from lovageway.events import SendPeer
-from lovageway.messages import Member
+from lovageway.messages import Member, decode, encode
 from lovageway.model import Identity, Vm
 
 STEP_S = 0.05
@@ -176,7 +176,12 @@
             return
         for _ in range(1 + (self.rng.random() < self.repeat)):
             self.mail.append(
-                (self.now + self.rng.uniform(0, self.delay_s), source, destination, msg)
+                (
+                    self.now + self.rng.uniform(0, self.delay_s),
+                    source,
+                    destination,
+                    decode(encode(msg)),
+                )
             )
 
     def act(self, item):
