--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -14,7 +14,7 @@
 
 import urllib3
 
-from standins.proxy import Proxy
+from standins.proxy import PeerProxy, Proxy
 
 START_TIMEOUT_S = 30.0
 WAIT_TIMEOUT_S = 30.0
@@ -135,7 +135,7 @@
         path = self.dir / f"{vm_id}.toml"
         platform = self.platform.address
         if proxied:
-            links = self.links[vm_id] = (Proxy(platform), Proxy("127.0.0.1:1"))
+            links = self.links[vm_id] = (Proxy(platform), PeerProxy("127.0.0.1:1"))
             platform, daemon_settings["peer_advertise"] = (link.address for link in links)
         lines = ["[daemon]", f'vm_id = "{vm_id}"', f'zone = "{zone}"']
         lines += [f"{name} = {json.dumps(value)}" for name, value in daemon_settings.items()]
@@ -191,6 +191,12 @@
         for link in self.links[vm_id]:
             link.set_mode(mode)
 
+    def partition(self, *sides):
+        """Cut the peer links between sides (lists of VM ids); no side heals all."""
+        for vm_id, (_, link) in self.links.items():
+            mine = next((side for side in sides if vm_id in side), self.links.keys())
+            link.block(self.links.keys() - set(mine))
+
     def control(self, **wanted):
         """Set faults of the platform and return its state."""
         return post(self.platform.address, "/control", wanted)
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -5,6 +5,8 @@
 import threading
 import time
 
+import msgpack
+
 CHUNK = 65536
 
 
@@ -67,7 +69,7 @@
 
     def _connect(self, client):
         with client:
-            if self.mode == "cut":
+            if self.mode == "cut" or not self._passes(client):
                 return
             try:
                 server = socket.create_connection(self.target, timeout=5)
@@ -84,6 +86,9 @@
                 with self.changed:
                     self.open -= {client, server}
 
+    def _passes(self, _client):
+        return True
+
     def _pump(self, source, sink, answers):
         with contextlib.suppress(OSError):
             while data := source.recv(CHUNK):
@@ -99,3 +104,36 @@
         for conn in (source, sink):
             with contextlib.suppress(OSError):
                 conn.shutdown(socket.SHUT_RDWR)
+
+
+class PeerProxy(Proxy):
+    """A proxy in front of a daemon's peer listener that can cut it from some daemons only."""
+
+    def __init__(self, target):
+        self.blocked = frozenset()
+        self.dialled = {}  # connection -> VM id of the daemon that opened it
+        super().__init__(target)
+
+    def block(self, vm_ids):
+        """Close the connections of these daemons and refuse new ones; all others pass."""
+        with self.changed:
+            self.blocked = frozenset(vm_ids)
+            self.dialled = {conn: vm for conn, vm in self.dialled.items() if conn.fileno() >= 0}
+            for conn, vm_id in self.dialled.items():
+                if vm_id in self.blocked:
+                    with contextlib.suppress(OSError):
+                        conn.shutdown(socket.SHUT_RDWR)
+
+    def _passes(self, client):
+        # The first frame is its length in 4 bytes and a msgpack map that names the node.
+        with contextlib.suppress(OSError, ValueError, KeyError):
+            client.settimeout(5)
+            head = client.recv(4, socket.MSG_PEEK | socket.MSG_WAITALL)
+            size = 4 + int.from_bytes(head, "big")
+            frame = client.recv(size, socket.MSG_PEEK | socket.MSG_WAITALL)
+            client.settimeout(None)
+            vm_id = msgpack.unpackb(frame[4:])["node"].partition("/")[0]
+            with self.changed:
+                self.dialled[client] = vm_id
+                return vm_id not in self.blocked
+        return False
