Notice a partition by pinging several peers when one does not answer

Cause: the wait of a new owner assumes that a daemon on the smaller side of a partition stops at most 3.5 s after the larger side finds its first member dead, that is 6 s after the cut. Regular probes reach one peer a second, so the smaller side kept majority contact much longer, granted shares a second time and served on an old configuration without the table service. Found while reviewing docs/proofs/shares.md, which listed 2 of 5 as not tried. Ruled out: a longer wait, which would have to grow with the fleet; marking the silent peers as suspects, which turns one busy moment into many suspicions; a sample of 8 peers, which cannot tell a zone outage from a partition.

--- a/src/lovageway/controllers/_swim.py
+++ b/src/lovageway/controllers/_swim.py
@@ -121,6 +121,10 @@
         if member.state == LIVE:
             self.merge(member._replace(state=SUSPECT), now)
 
+    def suspicions(self) -> int:
+        """Return the number of members that are suspected."""
+        return len(self._deadlines)
+
     def answered(self, vm_id: str) -> None:
         """End the silent suspicion of a leaving member that answers."""
         member = self.get(vm_id)
--- a/src/lovageway/controllers/_view.py
+++ b/src/lovageway/controllers/_view.py
@@ -20,6 +20,13 @@
         Entries of the other daemons.
     listed
         VM ids of the entry VMs in the VM list as last read.
+
+    Attributes
+    ----------
+    counted
+        Number of entry VMs of which more than half are a majority.
+    peers
+        Those of them that are taken for live, without this daemon's own.
     """
 
     def __init__(self, me: Member, others: Iterable[Member], listed: Collection[str]) -> None:
@@ -28,7 +35,9 @@
         self._owners: dict[str, str] = {}
         counted = {*listed, vm_of(me.node)}
         live = {vm_of(member.node) for member in self.live}
-        self.majority = 2 * len(counted & live) > len(counted)
+        self.counted = len(counted)
+        self.peers = tuple(sorted((counted & live) - {vm_of(me.node)}))
+        self.majority = 2 * (1 + len(self.peers)) > self.counted
 
     def owner(self, resource: str) -> str:
         """Return the node id of the daemon that owns a shared resource."""
--- a/src/lovageway/controllers/membership.py
+++ b/src/lovageway/controllers/membership.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from lovageway.controllers._contacts import CONTACT_INTERVAL_S, Contacts
+from lovageway.controllers._sample import SAMPLE_PEERS, SAMPLE_S, ContactSample
 from lovageway.controllers._swim import (
     DEAD,
     LEAVING,
@@ -40,6 +41,7 @@
 QUIET_S = 1.2  # longer than the interval of pings that are answered
 QUIET_PING_INTERVAL_S = 0.2
 QUIET_PEERS = 2  # with one, a zone outage still left some of the other zones' daemons in silence
+SUSPECTS_TO_SAMPLE = 3  # at the same time; one or two are more probably dead than out of reach
 VM_LIST_MIN_INTERVAL_S = 2.0
 VM_LIST_READS_PER_S = 20.0  # of the whole fleet
 PULL_MIN_INTERVAL_S = 30.0
@@ -110,11 +112,12 @@
         self._heard_at = 0.0
         self._round: list[str] = []
         self._probe: _Probe | None = None
+        self._sample = ContactSample()
         self._relays: dict[int, _Relay] = {}
         self._synced = False
         self._seq = 0
         self._next = dict.fromkeys(
-            ("list", "ping", "contact", "pull", "forget", "refute", "quiet"), 0.0
+            ("list", "ping", "contact", "pull", "forget", "refute", "quiet", "sample"), 0.0
         )
         self._own_epoch = 0
         self._viewed_epoch = -1
@@ -139,8 +142,9 @@
         return list(self._current().live)
 
     def has_majority(self) -> bool:
-        """Tell whether more than half of the listed entry VMs are live."""
-        return not self._superseded and self._current().majority
+        """Tell whether more than half of the listed entry VMs are live and can be reached."""
+        cut_off = self._superseded or self._sample.cut_off
+        return not cut_off and self._current().majority
 
     def owner(self, resource: str) -> str:
         """Return the node id of the daemon that owns a shared resource; a leaving one owns none."""
@@ -168,6 +172,7 @@
             "state": self._me.state,
             "superseded": self._superseded,
             "majority": self.has_majority(),
+            "cut_off": self._sample.cut_off,
             "live": [member._asdict() for member in self.live()],
             "dead": sorted(member.node for member in self._table if member.state == DEAD),
             "vm_list_age_s": age,
@@ -227,6 +232,7 @@
         if self._due("list", now, self._list_interval()):
             emit(ReadVmList())
         self._conclude_probe(now, emit)
+        self._check_contact(now, emit)
         for member in self._table.expire(now):
             self._changed(member, emit)
         if self._due("ping", now, PING_INTERVAL_S):
@@ -260,6 +266,7 @@
         self._last_tick = now
         if pause > PAUSE_S:
             self._table.postpone(pause)
+            self._sample.postpone(pause)
             if self._probe is not None:
                 self._probe = self._probe._replace(sent_at=self._probe.sent_at + pause)
 
@@ -364,12 +371,47 @@
             self._fail(probe, now, emit)
         elif not probe.indirect and now - probe.sent_at >= PING_TIMEOUT_S:
             self._probe = probe._replace(indirect=True)
+            if not self._sample.running:
+                self._sample_contact(now, emit)
             target = self.peer_address(probe.node)
             helpers = [item for item in self._live_peers() if item.node != probe.node]
             if target is not None:
                 for helper in self._rng.sample(helpers, min(INDIRECT_PEERS, len(helpers))):
                     emit(SendPeer(helper.peer_address, PingRequest(probe.seq, target)))
 
+    def _sample_contact(self, now: float, emit: Emit) -> None:
+        """Ping several peers at once; one that does not answer may be one of many."""
+        peers = self._current().peers
+        chosen = self._rng.sample(peers, min(SAMPLE_PEERS, len(peers)))
+        self._sample.begin(chosen, len(peers), now)
+        self._ping_sample(chosen, now, emit)
+
+    def _check_contact(self, now: float, emit: Emit) -> None:
+        """Repeat, conclude or renew the sample; a daemon that is cut off samples all the time."""
+        self._ping_sample(self._sample.to_repeat(now), now, emit)
+        view = self._current()
+        if self._sample.conclude(view.counted, now):
+            emit(StateChanged("contact_sample", {"cut_off": self._sample.cut_off}))
+        if self._sample.cut_off and not self._sample.running:
+            if view.peers:
+                self._sample_contact(now, emit)
+            else:
+                self._sample.cut_off = False  # the view itself has no majority
+        elif (
+            self._table.suspicions() >= SUSPECTS_TO_SAMPLE
+            and not self._sample.running
+            and self._due("sample", now, SAMPLE_S)
+        ):
+            # Its own pings may all have gone to its own side of a partition.
+            self._sample_contact(now, emit)
+
+    def _ping_sample(self, vm_ids: Sequence[str], now: float, emit: Emit) -> None:
+        for vm_id in vm_ids:
+            member = self._table.get(vm_id)
+            if member is not None:
+                seq = self._ping(member.peer_address, member.node, now, emit)
+                self._sample.asked(seq, vm_id)
+
     def _fail(self, probe: _Probe, now: float, emit: Emit) -> None:
         member = self._table.get(probe.vm_id)
         if member is not None and member.node == probe.node:
@@ -388,6 +430,7 @@
         self._relays[own] = _Relay(address, seq, now + PROBE_TIMEOUT_S)
 
     def _on_ack(self, sender: str, address: str, seq: int, now: float, emit: Emit) -> None:
+        self._sample.answered(seq)
         relay = self._relays.pop(seq, None)
         if relay is not None and now < relay.until:
             news = self._news(sender)
--- a/src/lovageway/controllers/ownership.py
+++ b/src/lovageway/controllers/ownership.py
@@ -10,7 +10,8 @@
 GRANT_S = 2.0
 DRIFT = 1.01  # clocks of two VMs may differ in speed by 1 %
 # Longest time between the moments at which two daemons learn that a third has gone (2 to 3.5 s
-# after its last answer), or at which a daemon that is cut off stops to count a majority.
+# after its last answer), or by which a daemon that is cut off loses majority contact after others
+# have found the first of its side dead (2.5 s after the cut; the sample shows the cut in 5 s).
 DETECTION_SPREAD_S = 3.5
 NEW_OWNER_WAIT_S = GRANT_S * DRIFT + DETECTION_SPREAD_S
 # A daemon that heard nobody for 1.2 s pings five others a second, so one in contact is answered
