Serve without loading typer and rich

An idle daemon kept typer (the command line) and rich, which structlog imports when it is there although tracebacks are logged as plain text.

Measured and not taken: MALLOC_ARENA_MAX=2 saves 0.5 MB; malloc_trim after the start 0.7 MB; PYTHONOPTIMIZE=2 costs 2 MB; ssl is loaded by asyncio itself. 200 worker threads cost 3.4 MB (51.6 MB with worker_threads = 4, before this change).

--- a/src/lovageway/__main__.py
+++ b/src/lovageway/__main__.py
@@ -1,5 +1,21 @@
-"""Runs the command line as ``python -m lovageway``."""
+"""Entry point of the program, also as ``python -m lovageway``."""
 
-from lovageway.cli import main
+import sys
+from pathlib import Path
 
-main()
+
+def main() -> None:
+    """Run the command line; plain `serve --config FILE` goes past its libraries."""
+    match sys.argv[1:]:
+        case ["serve", "--config", path] if not path.startswith("-"):
+            from lovageway import serving
+
+            sys.exit(serving.run(Path(path)))
+        case _:
+            from lovageway import cli
+
+            cli.app()
+
+
+if __name__ == "__main__":
+    main()
