--- a/tests/configuration_world.py
+++ b/tests/configuration_world.py
@@ -16,7 +16,7 @@
 )
 from lovageway.messages import Ack, Member, Ping, decode, encode
 from lovageway.model import Change, Vm
-from tests.builders import jar_returns_rows
+from tests.builders import JAR_ZONES, contract_row, jar_returns_rows
 
 MAX_AGE_S = 3.0
 
@@ -231,3 +231,19 @@
         # Steps at one moment of the paused clock have no order, so only earlier commits count.
         before = [version for version, at in self.table.since.items() if at < time - 1e-6]
         return max(before, default=0)
+
+
+def change(number):
+    """Return one of a few changes that overlap."""
+    zone = JAR_ZONES[number % 3]
+    if number % 2:
+        return [(f"zone/{zone}", {"name": zone, "region": "r", "enabled": number % 4 == 1})]
+    return [("contract/clerks", contract_row(concurrency=number + 1))]
+
+
+def settled(size):
+    """Return a world of daemons that all serve."""
+    world = World(size)
+    world.settle(3.0)
+    assert all(node.may_serve(world.now) is None for node in world.nodes)
+    return world
