Plot the time between tokens in the routing bench

The table's quantiles hide the shape of the tail. The bench now prints one histogram for each kind of generation, with a column for each policy and five logarithmic buckets a decade; any value at all shows. `--plot FILE` writes the same as SVG (both axes logarithmic), one file for each deployment and kind. Plain text: no plotting or histogram library is installed.

--- a/bench/routing.py
+++ b/bench/routing.py
@@ -16,6 +16,7 @@
 
 from standins.fleet import Fleet, http
 
+from bench import plot
 from bench.workload import DEPLOYMENTS, arrivals, start
 
 POLICIES = ("least_requests", "round_robin", "two_choices", "memory")
@@ -163,6 +164,25 @@
             print(f"| {policy} | {kind} | " + " | ".join(cells) + " |")
 
 
+def plot_gaps(name, runs, file):
+    """Print histograms of the time between tokens by kind; with `file` write them as SVG too."""
+    pictures = []
+    for kind in ("short", "long"):
+        samples = {
+            policy: [1000 * gap for run in found for item in run["results"]
+                     if item["kind"] == kind for gap in item["gaps"]]
+            for policy, found in runs.items()
+        }  # fmt: skip
+        title = f"{name}, {kind}: time between tokens, % of all, logarithmic buckets"
+        print(f"\n{title}\n\n```\n{plot.text(samples)}\n```")
+        pictures.append(plot.svg(title, samples))
+    if file:
+        for kind, picture in zip(("short", "long"), pictures, strict=True):
+            target = file.with_name(f"{file.stem}-{name}-{kind}{file.suffix}")
+            target.write_text(picture)
+            print(f"written: {target}")
+
+
 def pool(runs):
     """Return one run with the results of all seeds."""
     return {
@@ -199,6 +219,7 @@
         for policy, found in runs.items()
     }
     show(rows, f"{name}, seeds {args.seeds}, {args.seconds} s each (times in ms)")
+    plot_gaps(name, runs, args.plot)
 
 
 def main():
@@ -212,6 +233,7 @@
     options.add_argument("--seconds", type=float, default=28.0)
     options.add_argument("--drain", type=float, default=20.0)
     options.add_argument("--scale", type=float, default=1.0, help="factor on all arrival rates")
+    options.add_argument("--plot", type=Path, help="SVG file; its name gets deployment and kind")
     args = options.parse_args()
     print(f"parameters: {vars(args)}, {os.cpu_count()} processors")
     for name in args.deployments:
