--- a/bench/limits.py
+++ b/bench/limits.py
@@ -78,7 +78,7 @@
     fleet.backend("counter-0", "counter-app", "gobi", "plain")
     for number in range(count):
         zone = ("khangai", "gobi", "selenge")[number % 3]
-        fleet.daemon(f"entry-{number}", zone, worker_threads=60)
+        fleet.daemon(f"entry-{number}", zone, max_open_requests=60)
     rows = jar_returns_rows()
     services = ["shared-llm", "static-llm", "counter-app"]
     for name in ("shared-llm", "static-llm"):
--- a/bench/streams.py
+++ b/bench/streams.py
@@ -135,7 +135,7 @@
             fleet.backend(f"crock-{n}", "crock-llm", "khangai", "engine", *options)
             for n in range(ENGINES)
         ]
-        daemon = fleet.daemon("entry-0", "khangai", worker_threads=most + 20)
+        daemon = fleet.daemon("entry-0", "khangai", max_open_requests=most + 20)
         rows = jar_returns_rows()
         rows["contract/clerks"] = contract_row("clerks", concurrency=2000, tokens_per_s=1e6)
         rows["service/crock-llm"].update(full_slots=int(slots), cold_slots=int(slots))
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -126,7 +126,7 @@
         fleet.backend(f"{dep.plain}-{number}", dep.plain, zone, "plain")
     for number in range(daemons):
         lines = ("[routing]", f'policy = "{policy}"')
-        fleet.daemon(f"entry-{number}", zones[number % 3], lines, worker_threads=400)
+        fleet.daemon(f"entry-{number}", zones[number % 3], lines, max_open_requests=400)
     fleet.write_configuration(configuration(dep))
     fleet.publish_vms()
     fleet.wait_ready()
--- a/src/lovageway/adapters/_responses.py
+++ b/src/lovageway/adapters/_responses.py
@@ -1,15 +1,19 @@
-"""Writes the parts of an answer as HTTP: JSON, server-sent events, refusals."""
+"""Writes the parts of an answer as HTTP: one body or server-sent events."""
 
+import asyncio
 import json
 import time
-from collections.abc import Callable, Iterable, Iterator
-from typing import Any
+from collections.abc import Callable
 
-from lovageway import resume
-from lovageway.codes import INFO, Code, Refusal
+from aiohttp import web
+
+from lovageway.adapters._http import SOCKET_TIMEOUT_S
+from lovageway.adapters._listener import OnRefusal, refused
+from lovageway.codes import Refusal
 from lovageway.exchange import Answer, Ended, Idle, Opened, Part, Refused, Tokens
 
-StartResponse = Callable[..., Any]
+SMALL_WRITE_BYTES = 16384  # fits into the transport's buffer without a wait
+
 Sign = Callable[[Opened], str]
 
 
@@ -17,6 +21,7 @@
     """Puts output into the OpenAI form of completions or chat completions."""
 
     def __init__(self, request_id: str, model: str, chat: bool) -> None:
+        self.request_id = request_id
         self._base = {"id": request_id, "created": int(time.time()), "model": model}
         self._chat = chat
 
@@ -43,65 +48,60 @@
         return {**self._base, "object": kind, "choices": [choice], "usage": usage}
 
 
-class Responder:
-    """Writes one HTTP response.
+class Events:
+    """Writes the parts of an answer as server-sent events; the status waits for the first part.
 
     Parameters
     ----------
-    start_response
-        Of WSGI.
-    request_id
-        Sent as X-Request-Id.
+    request
+        The caller's HTTP request.
+    shape
+        Form of an event.
+    sign
+        Makes the resume token of an opened stream.
     on_refusal
         Called with the code of each refusal.
     """
 
     def __init__(
-        self,
-        start_response: StartResponse,
-        request_id: str,
-        on_refusal: Callable[[Code], None],
+        self, request: web.BaseRequest, shape: Shape, sign: Sign, on_refusal: OnRefusal
     ) -> None:
-        self._start_response = start_response
-        self._request_id = request_id
+        self._request = request
+        self._shape = shape
+        self._sign = sign
         self._on_refusal = on_refusal
+        self._stream: web.StreamResponse | None = None
+        self.response: web.StreamResponse | None = None
 
-    def refuse(self, refusal: Refusal) -> list[bytes]:
-        """Answer with a refusal."""
-        self._on_refusal(refusal.code)
-        headers = []
-        if refusal.retry_after_s is not None:
-            headers.append(("Retry-After", str(max(1, round(refusal.retry_after_s)))))
-        return self.json(INFO[refusal.code].status, refusal.to_json(), headers)
-
-    def stream(self, parts: Iterator[Part], shape: Shape, sign: Sign) -> Iterable[bytes]:
-        """Answer with server-sent events; the status waits for the first part."""
-        first = next(parts)
-        if isinstance(first, Refused):
-            _close(parts)
-            return self.refuse(first.refusal)
-        self._head(200, [("Content-Type", "text/event-stream"), ("Cache-Control", "no-store")])
-        return self._events(first, parts, shape, sign)
-
-    def _events(
-        self, first: Part, parts: Iterator[Part], shape: Shape, sign: Sign
-    ) -> Iterator[bytes]:
-        try:
-            yield self._event(first, shape, sign)
-            for part in parts:
-                yield self._event(part, shape, sign)
-        finally:
-            _close(parts)
-
-    def _event(self, part: Part, shape: Shape, sign: Sign) -> bytes:
+    async def send(self, part: Part) -> None:
+        """Write one part."""
+        if self._stream is None:
+            if isinstance(part, Refused):
+                refusal = part.refusal
+                self.response = refused(refusal, self._on_refusal, self._shape.request_id)
+                return
+            await self._begin()
+        assert self._stream is not None
+        await write(self._request, self._stream, self._event(part))
+
+    async def _begin(self) -> None:
+        headers = {
+            "X-Request-Id": self._shape.request_id,
+            "Content-Type": "text/event-stream",
+            "Cache-Control": "no-store",
+        }
+        self._stream = self.response = web.StreamResponse(headers=headers)
+        await self._stream.prepare(self._request)
+
+    def _event(self, part: Part) -> bytes:
         match part:
-            case Opened():
-                fields = {**shape.chunk("", None), "resume_token": sign(part)}
-                return f"data: {json.dumps(fields)}\n\n".encode()
             case Tokens(offset, texts, reason):
                 # One event for tokens that arrived together: one write, one JSON body.
-                data = json.dumps(shape.chunk("".join(texts), reason))
+                data = json.dumps(self._shape.chunk("".join(texts), reason))
                 return f"id: {offset + len(texts) - 1}\ndata: {data}\n\n".encode()
+            case Opened():
+                fields = {**self._shape.chunk("", None), "resume_token": self._sign(part)}
+                return f"data: {json.dumps(fields)}\n\n".encode()
             case Refused(refusal):
                 self._on_refusal(refusal.code)
                 return f"data: {json.dumps(refusal.to_json())}\n\n".encode()
@@ -110,68 +110,46 @@
             case Idle() | Answer():
                 return b": waiting\n\n"
 
-    def whole(self, parts: Iterator[Part], shape: Shape, prompt_tokens: int) -> list[bytes]:
-        """Answer with one JSON body."""
-        texts: list[str] = []
-        reason = None
-        for part in parts:
-            if isinstance(part, Refused):
-                return self.refuse(part.refusal)
-            if isinstance(part, Tokens):
-                texts += part.texts
-                reason = part.finish_reason
-        body = shape.whole("".join(texts), reason, prompt_tokens, len(texts))
-        return self.json(200, body, [])
-
-    def plain(self, parts: Iterator[Part]) -> list[bytes]:
-        """Answer with the bytes of a plain service."""
-        body = b""
-        for part in parts:
-            if isinstance(part, Refused):
-                return self.refuse(part.refusal)
-            if isinstance(part, Answer):
-                body = part.body
-        self._head(200, [("Content-Type", "application/json"), ("Content-Length", str(len(body)))])
-        return [body]
-
-    def json(self, status: int, value: object, headers: list[tuple[str, str]]) -> list[bytes]:
-        """Answer with a JSON body."""
-        body = json.dumps(value).encode()
-        sizes = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
-        self._head(status, sizes + headers)
-        return [body]
-
-    def _head(self, status: int, headers: list[tuple[str, str]]) -> None:
-        status_line = f"{status} {_REASONS[status]}"
-        self._start_response(status_line, [("X-Request-Id", self._request_id), *headers])
-
-
-def signer(key: bytes, account: str, service: str, node: str, chat: bool) -> Sign:
-    """Return the function that makes the resume token of an opened stream."""
-
-    def sign(part: Opened) -> str:
-        token = resume.ResumeToken(
-            account, service, node, part.server_id, part.start_id, part.generation, chat
-        )
-        return resume.sign(key, token)
-
-    return sign
-
-
-def _close(parts: Iterator[Part]) -> None:
-    parts.close()  # type: ignore[attr-defined]
-
-
-_REASONS = {
-    200: "OK",
-    400: "Bad Request",
-    401: "Unauthorized",
-    403: "Forbidden",
-    404: "Not Found",
-    409: "Conflict",
-    413: "Payload Too Large",
-    422: "Unprocessable Entity",
-    429: "Too Many Requests",
-    502: "Bad Gateway",
-    503: "Service Unavailable",
-}
+
+class Body:
+    """Collects the parts of an answer that has one body."""
+
+    def __init__(self) -> None:
+        self.refusal: Refusal | None = None
+        self.texts: list[str] = []
+        self.reason: str | None = None
+        self.answer = b""
+
+    async def send(self, part: Part) -> None:
+        """Take one part."""
+        match part:
+            case Refused(refusal):
+                self.refusal = refusal
+            case Tokens(_, texts, reason):
+                self.texts += texts
+                self.reason = reason
+            case Answer(body):
+                self.answer = body
+
+
+async def write(request: web.BaseRequest, stream: web.StreamResponse, data: bytes) -> None:
+    """Write to a caller.
+
+    Raises
+    ------
+    ConnectionError
+        If the caller has gone, or takes nothing for SOCKET_TIMEOUT_S.
+    """
+    transport = request.transport
+    if transport is None:
+        raise ConnectionResetError("the caller has gone")
+    if transport.get_write_buffer_size() == 0 and len(data) < SMALL_WRITE_BYTES:
+        # A timer for each token would cost more than the write's bookkeeping.
+        await stream.write(data)
+        return
+    try:
+        async with asyncio.timeout(SOCKET_TIMEOUT_S):
+            await stream.write(data)
+    except TimeoutError as exc:
+        transport.abort()
+        raise ConnectionResetError("the caller does not read") from exc
--- a/src/lovageway/adapters/callers.py
+++ b/src/lovageway/adapters/callers.py
@@ -1,23 +1,31 @@
 """Callers' interface: completions in the OpenAI form, plain calls, resumption."""
 
+import asyncio
 import hashlib
 import json
 import secrets
-from collections.abc import Callable, Iterable, Iterator, Sequence
+from collections.abc import Sequence
 from typing import Any
 from urllib.parse import parse_qs
 
+from aiohttp import web
+
 from lovageway import resume
-from lovageway.adapters._http import MAX_BODY_BYTES
-from lovageway.adapters._responses import Responder, Shape, StartResponse, signer
-from lovageway.adapters.engines import Engines
-from lovageway.adapters.services import PlainServices
+from lovageway.adapters._listener import (
+    BadRequestError,
+    OnRefusal,
+    json_response,
+    read_body,
+    refused,
+)
+from lovageway.adapters._responses import Body, Events, Shape
 from lovageway.codes import Code, Refusal
 from lovageway.controllers.discovery import TTL_S
-from lovageway.events import Request
-from lovageway.exchange import Exchange, Part
+from lovageway.events import Request, StreamCancelled
+from lovageway.exchange import Backends, Exchange, Opened
 from lovageway.model import Contract
 from lovageway.runtime import Runtime
+from lovageway.timing import Timing
 
 PREFIX_CHARS = 256
 CHARS_PER_TOKEN = 4  # estimate for prompts; the engine alone knows its tokenizer
@@ -25,26 +33,18 @@
 MAX_KEY_CHARS = 128
 MAX_OFFSET = 1 << 31
 
-Environ = dict[str, Any]
-
-
-class BadRequestError(Exception):
-    """A request that cannot be served as sent."""
-
-    def __init__(self, refusal: Refusal) -> None:
-        super().__init__(refusal.detail)
-        self.refusal = refusal
-
 
 class Callers:
-    """WSGI application of the callers' listener.
+    """Serves the requests of the callers' listener.
 
     Parameters
     ----------
     runtime
         The daemon.
-    engines, services
+    backends
         Clients of the backend servers.
+    timing
+        Where the times between tokens are counted.
     resume_keys
         Keys of resume tokens; the first signs, all are accepted.
     on_refusal
@@ -54,67 +54,74 @@
     def __init__(
         self,
         runtime: Runtime,
-        engines: Engines,
-        services: PlainServices,
+        backends: Backends,
+        timing: Timing,
         resume_keys: Sequence[bytes],
-        on_refusal: Callable[[Code], None],
+        on_refusal: OnRefusal,
     ) -> None:
         self._runtime = runtime
-        self._engines = engines
-        self._services = services
+        self._backends = backends
+        self._timing = timing
         self._resume_keys = tuple(resume_keys)
         self._on_refusal = on_refusal
+        self._calls: set[asyncio.Task[None]] = set()
 
-    def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+    async def serve(self, http: web.BaseRequest) -> web.StreamResponse:
         """Serve one HTTP request."""
         request_id = secrets.token_hex(12)
-        respond = Responder(start_response, request_id, self._on_refusal)
         try:
-            return self._route(environ, request_id, respond)
+            return await self._route(http, request_id)
         except BadRequestError as exc:
             refusal = exc.refusal
-            if "HTTP_IDEMPOTENCY_KEY" in environ:
+            if "Idempotency-Key" in http.headers:
                 refusal = refusal._replace(earlier="unknown")
-            return respond.refuse(refusal)
+            return refused(refusal, self._on_refusal, request_id)
 
-    def _route(self, environ: Environ, request_id: str, respond: Responder) -> Iterable[bytes]:
-        method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
-        match method, path.strip("/").split("/"):
+    async def calls_done(self) -> None:
+        """Wait for the plain calls whose caller has gone."""
+        if self._calls:
+            await asyncio.wait(self._calls)
+
+    async def _route(self, http: web.BaseRequest, request_id: str) -> web.StreamResponse:
+        match http.method, http.path.strip("/").split("/"):
             case "POST", ["v1", "completions"]:
-                return self._complete(environ, request_id, respond, chat=False)
+                return await self._complete(http, request_id, chat=False)
             case "POST", ["v1", "chat", "completions"]:
-                return self._complete(environ, request_id, respond, chat=True)
+                return await self._complete(http, request_id, chat=True)
             case "POST", ["v1", "streams", "resume"]:
-                return self._resume(environ, request_id, respond)
+                return await self._resume(http, request_id)
+            case "DELETE", ["v1", "streams"]:
+                return await self._cancel(http, request_id)
             case "POST", ["v1", "services", service, name]:
-                return self._call(environ, request_id, respond, service, name)
+                return await self._call(http, request_id, service, name)
             case "GET", ["v1", "models"]:
-                return self._models(environ, respond)
+                return self._models(http, request_id)
             case "GET", ["v1", "discovery"]:
-                return self._discover(environ, respond)
-        raise BadRequestError(Refusal(Code.UNKNOWN_METHOD, f"{method} {path[:80]}."))
+                return self._discover(http, request_id)
+        raise BadRequestError(Refusal(Code.UNKNOWN_METHOD, f"{http.method} {http.path[:80]}."))
 
-    def _contract(self, environ: Environ) -> Contract:
-        key = _api_key(environ)
+    def _contract(self, http: web.BaseRequest) -> Contract:
+        key = _api_key(http)
         contract = self._runtime.read(lambda node, now: node.authenticate.contract(key))
         if contract is None:
             raise BadRequestError(Refusal(Code.UNKNOWN_KEY))
         return contract
 
-    def _discover(self, environ: Environ, respond: Responder) -> Iterable[bytes]:
-        query = parse_qs(environ.get("QUERY_STRING", ""))
+    def _discover(self, http: web.BaseRequest, request_id: str) -> web.StreamResponse:
+        query = parse_qs(http.query_string)
         service, zone = (query.get(name, [""])[-1] for name in ("service", "zone"))
         if not service:
             raise BadRequestError(Refusal(Code.MALFORMED, "Name a service: ?service=S."))
-        caller = f"{environ.get('REMOTE_ADDR')}:{environ.get('REMOTE_PORT')}"
-        key = _api_key(environ)
+        peer = http.transport.get_extra_info("peername") if http.transport else None
+        caller = f"{peer[0]}:{peer[1]}" if peer else ""
+        key = _api_key(http)
         found = self._runtime.read(lambda node, now: node.discover(key, service, zone, caller, now))
         if found.is_error():
-            return respond.refuse(found.error)
-        return respond.json(200, {"addresses": found.ok, "ttl_s": TTL_S}, [])
+            return refused(found.error, self._on_refusal, request_id)
+        return json_response({"addresses": found.ok, "ttl_s": TTL_S}, _named(request_id))
 
-    def _models(self, environ: Environ, respond: Responder) -> Iterable[bytes]:
-        contract = self._contract(environ)
+    def _models(self, http: web.BaseRequest, request_id: str) -> web.StreamResponse:
+        contract = self._contract(http)
         services = self._runtime.read(lambda node, now: node.configuration.snapshot.services)
         names = [name for name in contract.services if name in services]
         models = [
@@ -122,12 +129,12 @@
             for name in names
             if services[name].kind == "engine"
         ]
-        return respond.json(200, {"object": "list", "data": models}, [])
+        return json_response({"object": "list", "data": models}, _named(request_id))
 
-    def _complete(
-        self, environ: Environ, request_id: str, respond: Responder, chat: bool
-    ) -> Iterable[bytes]:
-        body = _json_body(environ)
+    async def _complete(
+        self, http: web.BaseRequest, request_id: str, chat: bool
+    ) -> web.StreamResponse:
+        body = await _json_body(http)
         prompt = _chat_prompt(body) if chat else _text(body, "prompt")
         limit = body.get("max_tokens", body.get("max_completion_tokens", DEFAULT_MAX_TOKENS))
         if not isinstance(limit, int) or isinstance(limit, bool) or limit < 1:
@@ -135,80 +142,111 @@
         model, stream = _text(body, "model"), bool(body.get("stream"))
         req = Request(
             request_id,
-            _api_key(environ),
+            _api_key(http),
             model,
             "completions",
             _digest(model, "completions", prompt),
             len(prompt) // CHARS_PER_TOKEN + 1,
             limit,
             _digest(prompt[:PREFIX_CHARS]),
-            environ.get("HTTP_X_REQUEST_CLASS"),
+            http.headers.get("X-Request-Class"),
             whole=not stream,
         )
         fields: dict[str, object] = {"model": model, "prompt": prompt, "max_tokens": limit}
-        parts = Exchange(self._runtime, self._engines, self._services, req, fields).parts()
+        exchange = self._exchange(req, fields)
         shape = Shape(request_id, model, chat)
         if stream:
-            return self._stream(environ, respond, parts, shape, model, chat)
-        return respond.whole(parts, shape, req.prompt_tokens)
-
-    def _stream(
-        self,
-        environ: Environ,
-        respond: Responder,
-        parts: Iterator[Part],
-        shape: Shape,
-        model: str,
-        chat: bool,
-    ) -> Iterable[bytes]:
-        key = _api_key(environ)
-        contract, node = self._runtime.read(
-            lambda node, now: (node.authenticate.contract(key), node.membership.node)
-        )
-        account = contract.account if contract else ""
-        return respond.stream(
-            parts, shape, signer(self._resume_keys[0], account, model, node, chat)
-        )
-
-    def _resume(self, environ: Environ, request_id: str, respond: Responder) -> Iterable[bytes]:
-        verified = resume.verify(self._resume_keys, _text(_json_body(environ), "resume_token"))
+            return await self._stream(http, exchange, shape, model, chat)
+        parts = Body()
+        await exchange.run(parts.send)
+        if parts.refusal is not None:
+            return refused(parts.refusal, self._on_refusal, request_id)
+        text = "".join(parts.texts)
+        whole = shape.whole(text, parts.reason, req.prompt_tokens, len(parts.texts))
+        return json_response(whole, _named(request_id))
+
+    def _exchange(
+        self, req: Request, body: dict[str, object] | bytes = b"", position: int = 0
+    ) -> Exchange:
+        return Exchange(self._runtime, self._backends, self._timing, req, body, position)
+
+    async def _stream(
+        self, http: web.BaseRequest, exchange: Exchange, shape: Shape, model: str, chat: bool
+    ) -> web.StreamResponse:
+        def sign(part: Opened) -> str:
+            account, node = self._runtime.read(
+                lambda node, now: (node.account_of(shape.request_id), node.membership.node)
+            )
+            token = resume.ResumeToken(
+                account, model, node, part.server_id, part.start_id, part.generation, chat
+            )
+            return resume.sign(self._resume_keys[0], token)
+
+        events = Events(http, shape, sign, self._on_refusal)
+        await exchange.run(events.send)
+        assert events.response is not None
+        return events.response
+
+    async def _token(self, http: web.BaseRequest) -> resume.ResumeToken:
+        text = _text(await _json_body(http), "resume_token")
+        verified = resume.verify(self._resume_keys, text)
         if verified.is_error():
             raise BadRequestError(verified.error)
-        token = verified.ok
+        return verified.ok
+
+    async def _resume(self, http: web.BaseRequest, request_id: str) -> web.StreamResponse:
+        token = await self._token(http)
         req = Request(
-            request_id, _api_key(environ), token.service, "completions", "", 0, 0, resume=token
-        )
-        exchange = Exchange(
-            self._runtime, self._engines, self._services, req, position=_position(environ)
+            request_id, _api_key(http), token.service, "completions", "", 0, 0, resume=token
         )
+        exchange = self._exchange(req, position=_position(http))
         shape = Shape(request_id, token.service, token.chat)
-        return self._stream(environ, respond, exchange.parts(), shape, token.service, token.chat)
-
-    def _call(
-        self, environ: Environ, request_id: str, respond: Responder, service: str, name: str
-    ) -> Iterable[bytes]:
-        body, key = _read_body(environ), environ.get("HTTP_IDEMPOTENCY_KEY")
+        return await self._stream(http, exchange, shape, token.service, token.chat)
+
+    async def _cancel(self, http: web.BaseRequest, request_id: str) -> web.StreamResponse:
+        token = await self._token(http)
+        if self._contract(http).account != token.account:
+            raise BadRequestError(Refusal(Code.BAD_RESUME_TOKEN))
+        self._runtime.submit(StreamCancelled(token))
+        return json_response({"cancelled": True}, _named(request_id))
+
+    async def _call(
+        self, http: web.BaseRequest, request_id: str, service: str, name: str
+    ) -> web.StreamResponse:
+        body, key = await read_body(http), http.headers.get("Idempotency-Key")
         if key is not None and not (0 < len(key) <= MAX_KEY_CHARS and key.isprintable()):
             detail = f"Idempotency-Key needs 1 to {MAX_KEY_CHARS} printable characters."
             raise BadRequestError(Refusal(Code.MALFORMED, detail))
         req = Request(
             request_id,
-            _api_key(environ),
+            _api_key(http),
             service,
             name,
             _digest(service, name, body),
             0,
             0,
-            request_class=environ.get("HTTP_X_REQUEST_CLASS"),
+            request_class=http.headers.get("X-Request-Class"),
             idempotency_key=key,
         )
-        parts = Exchange(self._runtime, self._engines, self._services, req, body).parts()
-        return respond.plain(parts)
+        parts = Body()
+        # A caller that leaves must not cut a call that may have been sent: its answer is stored.
+        call = asyncio.create_task(self._exchange(req, body).run(parts.send))
+        self._calls.add(call)
+        call.add_done_callback(self._calls.discard)
+        await asyncio.shield(call)
+        if parts.refusal is not None:
+            return refused(parts.refusal, self._on_refusal, request_id)
+        headers = {**_named(request_id), "Content-Type": "application/json"}
+        return web.Response(body=parts.answer, headers=headers)
+
 
+def _named(request_id: str) -> dict[str, str]:
+    return {"X-Request-Id": request_id}
 
-def _json_body(environ: Environ) -> dict[str, Any]:
+
+async def _json_body(http: web.BaseRequest) -> dict[str, Any]:
     try:
-        body = json.loads(_read_body(environ))
+        body = json.loads(await read_body(http))
     except (ValueError, RecursionError) as exc:
         raise BadRequestError(Refusal(Code.MALFORMED, f"Body is not JSON: {exc}.")) from exc
     if not isinstance(body, dict):
@@ -216,16 +254,6 @@
     return body
 
 
-def _read_body(environ: Environ) -> bytes:
-    try:
-        data: bytes = environ["wsgi.input"].read(MAX_BODY_BYTES + 1)
-    except ValueError as exc:
-        raise BadRequestError(Refusal(Code.MALFORMED, f"Body cannot be read: {exc}.")) from exc
-    if len(data) > MAX_BODY_BYTES:
-        raise BadRequestError(Refusal(Code.TOO_LARGE, f"At most {MAX_BODY_BYTES} bytes."))
-    return data
-
-
 def _text(body: dict[str, Any], name: str) -> str:
     value = body.get(name)
     if not isinstance(value, str):
@@ -245,9 +273,9 @@
     return "\n".join(lines)
 
 
-def _position(environ: Environ) -> int:
+def _position(http: web.BaseRequest) -> int:
     """Return the offset after the last event that the caller has."""
-    text = environ.get("HTTP_LAST_EVENT_ID", "-1")
+    text = http.headers.get("Last-Event-ID", "-1")
     try:
         position = int(text) + 1
     except ValueError:
@@ -257,9 +285,11 @@
     return position
 
 
-def _api_key(environ: Environ) -> str:
-    header: str = environ.get("HTTP_AUTHORIZATION", "")
+def _api_key(http: web.BaseRequest) -> str:
+    header = http.headers.get("Authorization", "")
     scheme, _, key = header.partition(" ")
+    # Bytes that are not UTF-8 arrive as surrogates, which cannot be hashed.
+    key = key.encode(errors="replace").decode()
     return key.strip() if scheme.lower() == "bearer" else ""
 
 
--- /dev/null
+++ b/src/lovageway/adapters/generations.py
@@ -0,0 +1,115 @@
+"""Streams of model engines over aiohttp, on the event loop."""
+
+import json
+
+import aiohttp
+
+from lovageway.adapters.engines import (
+    CONNECT_TIMEOUT_S,
+    IDLE_TIMEOUT_S,
+    MAX_EVENT_BYTES,
+    EngineError,
+    Token,
+    parse_event,
+)
+from lovageway.events import Failure
+
+_FAILURES: dict[int, Failure] = {404: "gone", 429: "refused", 503: "refused"}
+
+
+class TokenStream:
+    """Tokens of one connection to one generation, in batches as they arrive."""
+
+    def __init__(self, resp: aiohttp.ClientResponse, generation: str) -> None:
+        self._resp = resp
+        self._buffer = b""
+        self.start_id = resp.headers.get("X-Start-Id", "")
+        if resp.headers.get("X-Generation-Id") != generation:
+            resp.close()
+            raise EngineError("gone", "answer of another generation", self.start_id)
+
+    async def read(self) -> tuple[Token, ...] | None:
+        """Return the tokens that have arrived since the last call, None at the end.
+
+        Raises
+        ------
+        EngineError
+            "stalled" when nothing came for IDLE_TIMEOUT_S, "lost" when the link broke.
+        """
+        try:
+            data = await self._resp.content.readany()
+            if not data:
+                return None
+            *events, self._buffer = (self._buffer + data).split(b"\n\n")
+            if len(self._buffer) > MAX_EVENT_BYTES:
+                raise EngineError("error", "event too long", self.start_id)
+            return tuple(token for event in events if (token := parse_event(event)))
+        except TimeoutError as exc:
+            raise EngineError("stalled", str(exc), self.start_id) from exc
+        except (aiohttp.ClientError, OSError) as exc:
+            raise EngineError("lost", str(exc), self.start_id) from exc
+        except (ValueError, KeyError, IndexError, TypeError) as exc:
+            raise EngineError("error", f"malformed event: {exc}", self.start_id) from exc
+
+    def close(self) -> None:
+        """Close the connection; the engine keeps the generation for a while."""
+        self._resp.close()
+
+
+class Generations:
+    """Starts and resumes generations; must be built on a running event loop.
+
+    The number of connections is that of the open requests, which the callers' listener bounds. A
+    connection is used once: a stream that is left early cannot be reused, and a kept connection
+    that the engine closes at the same moment would look like a lost generation.
+    """
+
+    def __init__(self) -> None:
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_connect=CONNECT_TIMEOUT_S, sock_read=IDLE_TIMEOUT_S
+            ),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+        )
+
+    async def start(self, address: str, generation: str, body: dict[str, object]) -> TokenStream:
+        """Start a generation.
+
+        Raises
+        ------
+        EngineError
+            "connect" or "refused" when it did not run.
+        """
+        return await self._request("POST", f"http://{address}/v1/completions", generation, body)
+
+    async def resume(self, address: str, generation: str, offset: int) -> TokenStream:
+        """Read a running generation from `offset` on."""
+        url = f"http://{address}/v1/generations/{generation}?offset={offset}"
+        return await self._request("GET", url, generation, None)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+
+    async def _request(
+        self, method: str, url: str, generation: str, body: dict[str, object] | None
+    ) -> TokenStream:
+        data = None if body is None else json.dumps(body).encode()
+        headers = {"X-Generation-Id": generation, "Content-Type": "application/json"}
+        try:
+            resp = await self._session.request(
+                method, url, data=data, headers=headers, allow_redirects=False
+            )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
+            raise EngineError("connect", str(exc)) from exc
+        except TimeoutError as exc:
+            raise EngineError("stalled", str(exc)) from exc
+        except (aiohttp.ClientError, OSError) as exc:
+            raise EngineError("lost", str(exc)) from exc
+        if resp.status == 200:
+            return TokenStream(resp, generation)
+        resp.close()
+        failure = _FAILURES.get(resp.status, "error")
+        raise EngineError(failure, f"HTTP {resp.status}", resp.headers.get("X-Start-Id"))
--- a/src/lovageway/controllers/membership.py
+++ b/src/lovageway/controllers/membership.py
@@ -145,6 +145,10 @@
         alive = member is not None and member.node == node and member.state != DEAD
         return member.peer_address if member is not None and alive else None
 
+    def server_address(self, server_id: str) -> str | None:
+        """Return the address of a listed VM, None when it is not listed."""
+        return next((vm.address for vm in self.vms if vm.vm_id == server_id), None)
+
     def listed_leaving(self, node: str) -> bool:
         """Tell whether the VM list marks the daemon's VM as leaving."""
         vm = self._listed.get(vm_of(node))
--- a/src/lovageway/daemon.py
+++ b/src/lovageway/daemon.py
@@ -16,8 +16,10 @@
 import structlog
 
 from lovageway.adapters._http import build_server
+from lovageway.adapters._listener import Listener
 from lovageway.adapters.callers import Callers
 from lovageway.adapters.engines import Engines
+from lovageway.adapters.generations import Generations
 from lovageway.adapters.operators import MAX_DRAIN_BYTES, Operators
 from lovageway.adapters.peers import Peers
 from lovageway.adapters.services import PlainServices
@@ -45,6 +47,7 @@
     Transact,
     VmListRead,
 )
+from lovageway.exchange import Backends
 from lovageway.messages import Message
 from lovageway.metrics import Metrics
 from lovageway.model import Identity
@@ -56,6 +59,8 @@
 IO_THREADS = 8
 LOAD_THREADS = 16  # a daemon owns about 13 servers at the target size
 TABLE_THREADS = 32
+CALL_THREADS = 128  # plain calls; further ones wait for a thread
+OPERATOR_THREADS = 8
 
 log = structlog.get_logger()
 
@@ -78,10 +83,10 @@
         self._table = Table(cfg.platform.table_url)
         self._vm_list = VmList(cfg.platform.vm_list_url)
         self._engines = Engines()
-        self._services = PlainServices()
         self._pool = ThreadPoolExecutor(IO_THREADS, thread_name_prefix="io")
         # Threads of their own, so that silent servers delay no other server's report for long.
         self._load_pool = ThreadPoolExecutor(LOAD_THREADS, thread_name_prefix="load")
+        self._call_pool = ThreadPoolExecutor(CALL_THREADS, thread_name_prefix="call")
         self._loads: set[str] = set()
         self._messages_sent = self._bytes_sent = 0  # to other daemons
         # Threads of its own, so that a slow table service delays no load report.
@@ -102,51 +107,54 @@
         await self._peers.listen(*_host_port(self._cfg.daemon.peer_listen))
         self._peer_listen = self._peers.address
         self._peers.address = self._cfg.daemon.peer_advertise or self._peers.address
-        self._listen(start_id)
+        await self._listen(start_id)
         for sig in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(sig, lambda: self._runtime.submit(StopRequested()))
         ticks = asyncio.ensure_future(self._tick())
         await self._stopped.wait()
         # Requests that arrive from here on are still answered, with a refusal.
-        for server in self._servers:
-            await asyncio.to_thread(server.stop)
+        await self._listener.stop()
+        await self._callers.calls_done()
+        await self._generations.close()
+        await asyncio.to_thread(self._operators.stop)
         ticks.cancel()
         self._load_pool.shutdown(wait=False, cancel_futures=True)
         # Writes to the table service that were handed over before are carried out.
+        await asyncio.to_thread(self._call_pool.shutdown)
         await asyncio.to_thread(self._table_pool.shutdown)
         await asyncio.to_thread(self._pool.shutdown)
         await self._peers.close()
 
-    def _listen(self, start_id: str) -> None:
+    async def _listen(self, start_id: str) -> None:
         """Bind the listeners, build the node and print the addresses as one line of JSON."""
         daemon = self._cfg.daemon
-        callers = build_server(
-            *_host_port(daemon.listen), daemon.worker_threads, self._count_refusal
+        self._listener = Listener(daemon.max_open_requests, self._count_refusal)
+        address = await self._listener.bind(*_host_port(daemon.listen))
+        self._operators = build_server(
+            *_host_port(daemon.operator_listen), OPERATOR_THREADS, self._count_refusal
         )
-        operators = build_server(*_host_port(daemon.operator_listen), 8, self._count_refusal)
-        self._servers = [callers, operators]
-        for server in self._servers:
-            server.prepare()
-        address = _bound(callers)
+        self._operators.prepare()
         ident = Identity(daemon.vm_id, start_id, daemon.zone, address, self._peers.address)
         self._runtime = Runtime(
             Node(ident, random.Random(), self._options()), time.monotonic, self._perform
         )
+        self._generations = Generations()
+        backends = Backends(self._generations, PlainServices(), self._call_pool)
         operator_keys = [read_secret(path) for path in self._cfg.keys.operator_key_files]
         resume_keys = [read_secret(path) for path in self._cfg.keys.resume_key_files]
-        callers.wsgi_app = Callers(
-            self._runtime, self._engines, self._services, resume_keys, self._count_refusal
+        self._callers = Callers(
+            self._runtime, backends, self._metrics.timing, resume_keys, self._count_refusal
         )
-        operators.max_request_body_size = MAX_DRAIN_BYTES
-        operators.wsgi_app = Operators(
+        self._operators.max_request_body_size = MAX_DRAIN_BYTES
+        self._operators.wsgi_app = Operators(
             self._runtime, operator_keys, self._metrics.registry, self._traffic
         )
-        for server in self._servers:
-            threading.Thread(target=server.serve, daemon=True).start()
+        threading.Thread(target=self._operators.serve, daemon=True).start()
+        await self._listener.start(self._callers.serve)
         ready = {
             "listen": address,
             "peer_listen": self._peer_listen,
-            "operator_listen": _bound(operators),
+            "operator_listen": _bound(self._operators),
         }
         print(json.dumps(ready), flush=True)
         log.info("serving", vm_id=daemon.vm_id, start_id=start_id, **ready)
--- a/src/lovageway/events.py
+++ b/src/lovageway/events.py
@@ -92,6 +92,12 @@
     generation: str = ""
 
 
+class StreamCancelled(NamedTuple):
+    """A caller that has gone will not come back to the generation of its resume token."""
+
+    token: ResumeToken
+
+
 class PeerMessage(NamedTuple):
     """An authenticated message of another daemon; `sender` is its node id."""
 
@@ -155,6 +161,7 @@
     | AttemptFailed
     | AttemptFinished
     | CallerGone
+    | StreamCancelled
     | PeerMessage
     | VmListRead
     | LoadRead
@@ -227,7 +234,7 @@
 
 
 class StartAttempt(NamedTuple):
-    """Send the request to a backend server; goes to the request's own thread."""
+    """Send the request to a backend server; goes to the request's exchange."""
 
     request_id: str
     attempt: int
@@ -242,7 +249,7 @@
 
 
 class ResumeAttempt(NamedTuple):
-    """Read a running generation from an offset; goes to the request's own thread."""
+    """Read a running generation from an offset; goes to the request's exchange."""
 
     request_id: str
     attempt: int
@@ -251,24 +258,26 @@
     start_id: str
     generation: str
     timeout_s: float
+    service: str
+    request_class: str
 
 
 class Refuse(NamedTuple):
-    """End a request with a refusal; goes to the request's own thread."""
+    """End a request with a refusal; goes to the request's exchange."""
 
     request_id: str
     refusal: Refusal
 
 
 class Replay(NamedTuple):
-    """End a request with the stored answer of an earlier one; goes to the request's thread."""
+    """End a request with the stored answer of an earlier one; goes to its exchange."""
 
     request_id: str
     answer: str
 
 
 class Finish(NamedTuple):
-    """The request's records are closed; goes to the request's own thread."""
+    """The request's records are closed; goes to the request's exchange."""
 
     request_id: str
 
--- a/src/lovageway/exchange.py
+++ b/src/lovageway/exchange.py
@@ -1,11 +1,14 @@
-"""Carries one request on its own thread: carries out the node's effects and reports back."""
+"""Carries one request on the event loop: carries out the node's effects and reports back."""
 
+import asyncio
 import time
-from collections.abc import Iterator
+from collections.abc import Awaitable, Callable
+from concurrent.futures import Executor
 from functools import singledispatchmethod
 from typing import NamedTuple
 
-from lovageway.adapters.engines import EngineError, Engines, Token, TokenStream
+from lovageway.adapters.engines import EngineError, Token
+from lovageway.adapters.generations import Generations, TokenStream
 from lovageway.adapters.services import PlainServices
 from lovageway.codes import Refusal
 from lovageway.events import (
@@ -25,6 +28,7 @@
 )
 from lovageway.model import generation_name
 from lovageway.runtime import Runtime
+from lovageway.timing import Pace, Timing
 
 MAX_RESUMES = 3  # consecutive connections of a stream that bring no token
 REPORT_TOKENS = 32  # one event for each token would take the node's lock 14,000 times a second
@@ -73,13 +77,24 @@
 Part = Opened | Tokens | Idle | Answer | Refused | Ended
 
 
+Send = Callable[[Part], Awaitable[None]]
+"""Takes the next part of an answer; returns when more may follow."""
+
+
+class Backends(NamedTuple):
+    """What reaches the backend servers."""
+
+    generations: Generations
+    services: PlainServices
+    threads: Executor  # for plain calls, which block
+
+
 class _Generation(NamedTuple):
     request_id: str
     attempt: int
     address: str
     name: str
     start_id: str
-    whole: bool
 
 
 class Exchange:
@@ -89,8 +104,10 @@
     ----------
     runtime
         Where events go.
-    engines, services
+    backends
         Clients of the backend servers.
+    timing
+        Where the times between tokens are counted.
     req
         The request.
     body
@@ -102,15 +119,15 @@
     def __init__(
         self,
         runtime: Runtime,
-        engines: Engines,
-        services: PlainServices,
+        backends: Backends,
+        timing: Timing,
         req: Request,
         body: dict[str, object] | bytes = b"",
         position: int = 0,
     ) -> None:
         self._runtime = runtime
-        self._engines = engines
-        self._services = services
+        self._backends = backends
+        self._timing = timing
         self._req = req
         self._body = body
         self._position = position
@@ -118,62 +135,67 @@
         self._resumable = ""  # generation that the caller could come back to
         self._open = True
 
-    def parts(self) -> Iterator[Part]:
-        """Yield the parts of the answer; closing the iterator means that the caller has gone."""
-        box = self._runtime.open(self._req.request_id)
+    async def run(self, send: Send) -> None:
+        """Give the parts of the answer to `send`; a cancellation means that the caller has gone."""
+        loop = asyncio.get_running_loop()
+        self._arrived = loop.time()
+        box: asyncio.Queue[RequestEffect] = asyncio.Queue()
+
+        def put(effect: RequestEffect) -> None:
+            # Effects may come from any thread that gives an event to the node.
+            loop.call_soon_threadsafe(box.put_nowait, effect)
+
+        self._runtime.subscribe(self._req.request_id, put)
         try:
             self._runtime.submit(RequestArrived(self._req))
             while self._open:
-                effect = box.get()
-                assert not hasattr(effect, "op_id")
-                yield from self._perform(effect)
+                await self._perform(await box.get(), send)
         finally:
             self._runtime.close(self._req.request_id)
             if self._open:
                 self._runtime.submit(CallerGone(self._req.request_id, self._resumable))
 
     @singledispatchmethod
-    def _perform(self, effect: RequestEffect) -> Iterator[Part]:
+    async def _perform(self, effect: RequestEffect, send: Send) -> None:
         raise TypeError(f"no handler for {type(effect).__name__}")
 
     @_perform.register
-    def _(self, effect: Refuse) -> Iterator[Part]:
+    async def _(self, effect: Refuse, send: Send) -> None:
         self._open = False
-        yield Refused(effect.refusal)
+        await send(Refused(effect.refusal))
 
     @_perform.register
-    def _(self, effect: Replay) -> Iterator[Part]:
+    async def _(self, effect: Replay, send: Send) -> None:
         self._open = False
-        yield Answer(effect.answer.encode(errors="surrogateescape"))
+        await send(Answer(effect.answer.encode(errors="surrogateescape")))
 
     @_perform.register
-    def _(self, effect: Finish) -> Iterator[Part]:
+    async def _(self, effect: Finish, send: Send) -> None:
         self._open = False
-        yield from ()
 
     @_perform.register
-    def _(self, effect: StartAttempt) -> Iterator[Part]:
+    async def _(self, effect: StartAttempt, send: Send) -> None:
         try:
             if isinstance(self._body, bytes):
-                yield from self._call(effect, self._body)
+                await self._call(effect, self._body, send)
             else:
-                yield from self._generate(effect, self._body)
+                await self._generate(effect, self._body, send)
         except EngineError as exc:
             self._fail(effect, exc)
 
     @_perform.register
-    def _(self, effect: ResumeAttempt) -> Iterator[Part]:
+    async def _(self, effect: ResumeAttempt, send: Send) -> None:
         generation = _Generation(
             effect.request_id,
             effect.attempt,
             effect.address,
             effect.generation,
             effect.start_id,
-            False,
         )
         self._resumable = effect.generation
+        pace = self._timing.pace(effect.service, effect.request_class)
         try:
-            yield from self._deliver(generation, None)
+            await self._deliver(generation, None, pace, send)
         except EngineError as exc:
             self._fail(effect, exc)
 
@@ -183,8 +205,10 @@
         )
         self._runtime.submit(failed)
 
-    def _call(self, effect: StartAttempt, body: bytes) -> Iterator[Part]:
-        answer = self._services.call(
+    async def _call(self, effect: StartAttempt, body: bytes, send: Send) -> None:
+        answer = await asyncio.get_running_loop().run_in_executor(
+            self._backends.threads,
+            self._backends.services.call,
             effect.address,
             self._req.method,
             body,
@@ -195,86 +219,111 @@
         self._runtime.submit(AttemptStarted(effect.request_id, effect.attempt, answer.start_id))
         text = answer.body.decode(errors="surrogateescape")
         self._runtime.submit(AttemptFinished(effect.request_id, effect.attempt, 0, text))
-        yield Answer(answer.body)
+        await send(Answer(answer.body))
 
-    def _generate(self, effect: StartAttempt, body: dict[str, object]) -> Iterator[Part]:
+    async def _generate(self, effect: StartAttempt, body: dict[str, object], send: Send) -> None:
         name = generation_name(effect.request_id, effect.attempt)
         fields = {**body, "stream": True, "priority": PRIORITIES[effect.request_class]}
         generation = _Generation(
-            effect.request_id, effect.attempt, effect.address, name, effect.start_id, effect.whole
+            effect.request_id, effect.attempt, effect.address, name, effect.start_id
         )
         try:
-            stream = self._engines.start(effect.address, name, fields)
+            stream = await self._backends.generations.start(effect.address, name, fields)
         except EngineError as exc:
             if exc.failure not in ("lost", "stalled"):
                 raise
             # The engine may have started it before the link failed.
-            stream = self._reconnect(generation, 0)
-        generation = generation._replace(start_id=stream.start_id)
-        self._runtime.submit(AttemptStarted(effect.request_id, effect.attempt, stream.start_id))
-        if effect.whole:
-            yield from self._deliver_whole(generation, stream)
-            return
-        self._resumable = name
-        yield Opened(effect.server_id, stream.start_id, name)
-        yield from self._deliver(generation, stream)
-
-    def _deliver(self, generation: _Generation, stream: TokenStream | None) -> Iterator[Part]:
-        for part in self._follow(generation, stream):
+            stream = await self._reconnect(generation, 0)
+        try:
+            generation = generation._replace(start_id=stream.start_id)
+            started = AttemptStarted(effect.request_id, effect.attempt, stream.start_id)
+            self._runtime.submit(started)
+            pace = self._timing.pace(effect.service, effect.request_class, self._arrived)
+            if effect.whole:
+                await self._deliver_whole(generation, stream, pace, send)
+                return
+            self._resumable = name
+            await send(Opened(effect.server_id, stream.start_id, name))
+            await self._deliver(generation, stream, pace, send)
+        finally:
+            stream.close()
+
+    async def _deliver(
+        self, generation: _Generation, stream: TokenStream | None, pace: Pace, send: Send
+    ) -> None:
+        async def deliver(part: Tokens | Idle) -> None:
             if isinstance(part, Tokens):
+                # Counted before the write: a write that fails may have reached the caller.
                 self._delivered = part.offset + len(part.texts)
-            yield part
+            await send(part)
+
+        await self._follow(generation, stream, pace, deliver)
         self._end(generation)
-        yield Ended(self._delivered)
+        await send(Ended(self._delivered))
 
-    def _deliver_whole(self, generation: _Generation, stream: TokenStream) -> Iterator[Part]:
-        finished = False
-        try:
-            # Nothing is delivered before the end, so another attempt can hide a failure.
-            held = [part for part in self._follow(generation, stream) if not isinstance(part, Idle)]
-            finished = True
-        finally:
-            if not finished:
-                self._engines.cancel(generation.address, generation.name)
-        self._delivered = sum(len(part.texts) for part in held if isinstance(part, Tokens))
+    async def _deliver_whole(
+        self, generation: _Generation, stream: TokenStream, pace: Pace, send: Send
+    ) -> None:
+        held: list[Tokens] = []
+
+        async def hold(part: Tokens | Idle) -> None:
+            if isinstance(part, Tokens):
+                held.append(part)
+
+        # Nothing is delivered before the end, so another attempt can hide a failure.
+        await self._follow(generation, stream, pace, hold)
+        self._delivered = sum(len(part.texts) for part in held)
         self._end(generation)
-        yield from held
-        yield Ended(self._delivered)
+        for part in held:
+            await send(part)
+        await send(Ended(self._delivered))
 
     def _end(self, generation: _Generation) -> None:
         self._resumable = ""
         finished = AttemptFinished(generation.request_id, generation.attempt, self._delivered)
         self._runtime.submit(finished)
 
-    def _follow(self, generation: _Generation, stream: TokenStream | None) -> Iterator[Part]:
-        """Yield each token once and in order, resuming the generation when the link fails."""
+    async def _follow(
+        self,
+        generation: _Generation,
+        stream: TokenStream | None,
+        pace: Pace,
+        deliver: Callable[[Tokens | Idle], Awaitable[None]],
+    ) -> None:
+        """Deliver each token once and in order, resuming the generation when the link fails."""
         position, failures = self._position, 0
         report = _Report(self._runtime, generation.request_id, position)
         while True:
             try:
                 if stream is None:
-                    stream = self._reconnect(generation, position)
-                for batch in stream:
+                    stream = await self._reconnect(generation, position)
+                while (batch := await stream.read()) is not None:
                     tokens = _next_tokens(batch, position, generation.start_id)
                     if tokens is None:
                         continue
                     position, failures = tokens.offset + len(tokens.texts), 0
-                    yield tokens
-                    report.add(position, tokens.finish_reason is not None)
+                    await deliver(tokens)
+                    now = time.monotonic()
+                    pace.wrote(now)
+                    report.add(position, tokens.finish_reason is not None, now)
                     if tokens.finish_reason is not None:
-                        stream.close()
                         return
                 raise EngineError("lost", "stream ended early", generation.start_id)
             except EngineError as exc:
                 failures += 1
                 if exc.failure in ("gone", "error") or failures > MAX_RESUMES:
                     raise
-                stream = None
-                yield Idle()
+            finally:
+                if stream is not None:
+                    stream.close()
+            stream = None
+            await deliver(Idle())
 
-    def _reconnect(self, generation: _Generation, position: int) -> TokenStream:
+    async def _reconnect(self, generation: _Generation, position: int) -> TokenStream:
         try:
-            stream = self._engines.resume(generation.address, generation.name, position)
+            stream = await self._backends.generations.resume(
+                generation.address, generation.name, position
+            )
         except EngineError as exc:
             if exc.failure not in ("connect", "refused"):
                 raise
@@ -295,9 +344,9 @@
         self._reported = position
         self._at = time.monotonic()
 
-    def add(self, position: int, last: bool) -> None:
+    def add(self, position: int, last: bool, now: float) -> None:
         """Report when enough tokens or time have passed since the last report."""
-        now, count = time.monotonic(), position - self._reported
+        count = position - self._reported
         if last or count >= REPORT_TOKENS or now - self._at >= REPORT_INTERVAL_S:
             self._runtime.submit(TokensDelivered(self._request_id, count, position))
             self._reported, self._at = position, now
--- a/src/lovageway/filters/resumption.py
+++ b/src/lovageway/filters/resumption.py
@@ -24,9 +24,7 @@
         assert ctx.service is not None
         if token.account != ctx.contract.account:
             return stop(Refusal(Code.BAD_RESUME_TOKEN))
-        address = next(
-            (vm.address for vm in self._membership.vms if vm.vm_id == token.server_id), None
-        )
+        address = self._membership.server_address(token.server_id)
         if address is None:
             return stop(Refusal(Code.GENERATION_LOST, f"Server {token.server_id} has left."))
         self._streams.resumed(token.generation, token.node, now, emit)
@@ -39,6 +37,8 @@
                 token.start_id,
                 token.generation,
                 ctx.service.timeout_s,
+                ctx.service.name,
+                ctx.request_class,
             )
         )
         return Ok(ctx._replace(server_id=token.server_id, address=address, start_id=token.start_id))
--- a/src/lovageway/metrics.py
+++ b/src/lovageway/metrics.py
@@ -1,8 +1,9 @@
-"""Counters of a daemon."""
+"""Metrics of a daemon."""
 
 from prometheus_client import CollectorRegistry, Counter
 
 from lovageway.events import Count
+from lovageway.timing import Timing
 
 COUNTERS: dict[str, tuple[str, tuple[str, ...]]] = {
     "requests": ("Requests received.", ("service",)),
@@ -43,6 +44,8 @@
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
+        self.timing = Timing()
+        self.registry.register(self.timing)
         self._counters = {
             name: Counter(f"lovageway_{name}", text, labels, registry=self.registry)
             for name, (text, labels) in COUNTERS.items()
--- a/src/lovageway/node.py
+++ b/src/lovageway/node.py
@@ -41,6 +41,7 @@
     RequestArrived,
     StartAttempt,
     StopRequested,
+    StreamCancelled,
     TableAnswered,
     Tick,
     TokensDelivered,
@@ -178,6 +179,11 @@
         """Return what was decided about a recent request, oldest first."""
         return list(self._history.get(request_id, ()))
 
+    def account_of(self, request_id: str) -> str:
+        """Return the client account of an open request, "" when it is not known."""
+        ctx = self.chain.get(request_id) or self._resumes.get(request_id)
+        return ctx.contract.account if ctx is not None and ctx.contract is not None else ""
+
     def discover(
         self, api_key: str, service: str, zone: str, caller: str, now: float
     ) -> Result[tuple[str, ...], Refusal]:
@@ -253,12 +259,12 @@
         self.poison.failed(ctx, event, now, self._emit)
         outcome = self._attempt.failed(ctx, event)
         if outcome.is_ok():
-            if ctx.service is not None and ctx.service.kind == "engine":
-                name = generation_name(ctx.req.request_id, ctx.attempt)
-                self._emit(CancelGeneration(ctx.server_id, ctx.address, name))
+            self._cancel(ctx)
             self.chain.retry(outcome.ok, Quarantine, now, self._emit)
         else:
             refusal: Refusal = outcome.error
+            if ctx.contract is not None and (ctx.contract.delivery == "whole" or ctx.req.whole):
+                self._cancel(ctx)  # nothing was delivered, so nobody can come back to it
             self.chain.refuse(event.request_id, refusal, now, self._emit)
 
     @_on.register
@@ -282,8 +288,26 @@
         if ctx is not None and event.generation:
             self.streams.park(event.generation, event.request_id, ctx.server_id, ctx.address, now)
         else:
+            if ctx is not None and ctx.req.resume is None:
+                self._cancel(ctx)
             self.chain.finish(event.request_id, now, self._emit)
 
+    def _cancel(self, ctx: Context) -> None:
+        """Cancel the generation of the current attempt, if one may have been sent."""
+        if ctx.address and ctx.service is not None and ctx.service.kind == "engine":
+            name = generation_name(ctx.req.request_id, ctx.attempt)
+            self._emit(CancelGeneration(ctx.server_id, ctx.address, name))
+
+    @_on.register
+    def _(self, event: StreamCancelled, now: float) -> None:
+        token = event.token
+        address = self.membership.server_address(token.server_id)
+        if address is not None:
+            self._emit(CancelGeneration(token.server_id, address, token.generation))
+            self._emit(Count("generations_cancelled"))
+        self.streams.resumed(token.generation, token.node, now, self._emit)
+        self._release_ended(now)
+
     def _release_ended(self, now: float) -> None:
         for request_id in self.streams.take_ended():
             self.chain.finish(request_id, now, self._emit)
--- a/src/lovageway/runtime.py
+++ b/src/lovageway/runtime.py
@@ -12,14 +12,13 @@
     Finish,
     Refuse,
     Replay,
-    RequestEffect,
     ResumeAttempt,
     StartAttempt,
 )
 from lovageway.node import Node
 
 T = TypeVar("T")
-Mailbox = queue.SimpleQueue[RequestEffect | ApplyDone]
+Mailbox = queue.SimpleQueue[ApplyDone]
 
 
 class Runtime:
@@ -42,15 +41,22 @@
         self._clock = clock
         self._perform = perform
         self._lock = threading.Lock()
-        self._mailboxes: dict[str, Mailbox] = {}
+        self._mailboxes: dict[str, Callable[..., None]] = {}
 
     def open(self, key: str) -> Mailbox:
         """Return a mailbox for the effects of the request or operation `key`."""
         box: Mailbox = queue.SimpleQueue()
-        with self._lock:
-            self._mailboxes[key] = box
+        self.subscribe(key, box.put)
         return box
 
+    def subscribe(self, key: str, put: Callable[..., None]) -> None:
+        """Give the effects of the request or operation `key` to `put`, which must not block.
+
+        `put` is called under the lock, by whichever thread submits the event.
+        """
+        with self._lock:
+            self._mailboxes[key] = put
+
     def close(self, key: str) -> None:
         """Drop a mailbox; effects that come later are dropped as well."""
         with self._lock:
@@ -70,11 +76,11 @@
     def _dispatch(self, effect: Effect) -> None:
         match effect:
             case StartAttempt() | ResumeAttempt() | Refuse() | Replay() | Finish():
-                box = self._mailboxes.get(effect.request_id)
+                put = self._mailboxes.get(effect.request_id)
             case ApplyDone():
-                box = self._mailboxes.get(effect.reply_to or effect.op_id)
+                put = self._mailboxes.get(effect.reply_to or effect.op_id)
             case _:
                 self._perform(effect)
                 return
-        if box is not None:
-            box.put(effect)
+        if put is not None:
+            put(effect)
--- a/src/lovageway/settings.py
+++ b/src/lovageway/settings.py
@@ -30,8 +30,8 @@
     seeds: tuple[HostPort, ...] = Field(
         (), max_length=16, description="Peer listeners to contact in addition to the VM list."
     )
-    worker_threads: int = Field(
-        200, ge=4, le=2000, description="Requests served at the same time by this daemon."
+    max_open_requests: int = Field(
+        1000, ge=4, le=10000, description="Requests served at the same time; more are refused."
     )
 
 
--- a/tools/pages.py
+++ b/tools/pages.py
@@ -8,7 +8,7 @@
 
 from pydantic_core import PydanticUndefined
 
-from lovageway import codes, metrics, settings
+from lovageway import codes, metrics, settings, timing
 
 DOCS = Path(__file__).resolve().parent.parent / "docs"
 NOTE = "Generated from {source} by `python -m tools.pages`; change that file and run it again."
@@ -54,10 +54,13 @@
 
 def metrics_page() -> str:
     """Return the list of metrics."""
-    lines = ["# Metrics", "", NOTE.format(source="`metrics.py`"), ""]
+    lines = ["# Metrics", "", NOTE.format(source="`metrics.py` and `timing.py`"), ""]
     lines += ["| metric | labels | meaning |", "|---|---|---|"]
-    for name, (text, labels) in metrics.COUNTERS.items():
-        lines.append(f"| `lovageway_{name}_total` | {', '.join(labels)} | {text} |")
+    for name, (text, names) in metrics.COUNTERS.items():
+        lines.append(f"| `lovageway_{name}_total` | {', '.join(names)} | {text} |")
+    for name, (kind, text) in timing.METRICS.items():
+        labels = ", ".join(timing.LABELS)
+        lines.append(f"| `lovageway_{name}` ({kind}) | {labels} | {text} |")
     return "\n".join(lines) + "\n"
 
 
