Keep connections open between requests of a caller

aiohttp closes a connection after its first answer when keepalive_timeout is 0; a pooled caller then met a reset (test_drain and test_at_most_once, one test each, both pass now). The listener's own deadline of 10 s closes idle connections.

--- a/src/lovageway/adapters/_listener.py
+++ b/src/lovageway/adapters/_listener.py
@@ -52,7 +52,9 @@
         super().__init__(
             server,
             loop=asyncio.get_running_loop(),
-            keepalive_timeout=0,  # the deadline below also covers a request that is sent slowly
+            # The deadline below is shorter and also covers a request that is sent slowly. 0 would
+            # close every connection after its first answer.
+            keepalive_timeout=3600,
             access_log=None,  # type: ignore[arg-type]  # None switches the log off
             max_line_size=MAX_LINE_BYTES,
             max_field_size=MAX_LINE_BYTES,
