--- a/bench/streams.py
+++ b/bench/streams.py
@@ -96,9 +96,15 @@
     asyncio.run(main())
 
 
-async def load(address, streams, tokens):
+async def load(address, streams, tokens, spread_s):
     gaps, refused = [], []
-    reads = [read_stream(address, number, tokens, gaps, refused) for number in range(streams)]
+
+    async def read(number):
+        # All streams in one moment would overflow the admission queue of a class.
+        await asyncio.sleep(spread_s * number / streams)
+        return await read_stream(address, number, tokens, gaps, refused)
+
+    reads = [read(number) for number in range(streams)]
     seen = sum(await asyncio.gather(*reads))
     gaps.sort()
     for refusal in refused[:3]:
@@ -106,9 +112,9 @@
     return seen, gaps
 
 
-def measure(name, process, streams, tokens):
+def measure(name, process, streams, tokens, spread_s):
     pid, before, started = process.popen.pid, cpu_s(process.popen.pid), time.perf_counter()
-    seen, gaps = asyncio.run(load(process.address, streams, tokens))
+    seen, gaps = asyncio.run(load(process.address, streams, tokens, spread_s))
     used, wall = cpu_s(pid) - before, time.perf_counter() - started
     p50, p99 = (gaps[int(len(gaps) * part)] if gaps else 0.0 for part in (0.5, 0.99))
     print(
@@ -123,6 +129,7 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--streams", type=int, nargs="+", default=[50, 100, 200])
     parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--spread", type=float, default=0.0, help="seconds in which streams begin")
     parser.add_argument("--relay", nargs="+", help=argparse.SUPPRESS)
     args = parser.parse_args()
     if args.relay:
@@ -151,8 +158,8 @@
         loop = fleet._start([sys.executable, "-m", "bench.streams", "--relay", *addresses])
         for streams in args.streams:
             tokens = int(args.seconds * 20)
-            measure("bare relay", loop, streams, tokens)
-            measure("daemon", daemon, streams, tokens)
+            measure("bare relay", loop, streams, tokens, args.spread)
+            measure("daemon", daemon, streams, tokens, args.spread)
     return None
 
 
--- a/src/lovageway/controllers/discovery.py
+++ b/src/lovageway/controllers/discovery.py
@@ -13,8 +13,9 @@
 TTL_S = 5  # callers keep an answer for this long
 MAX_ADDRESSES = 32  # an answer with all 390 daemons would have 8 KB
 MAX_HOMES_KEPT = 20000
-# What one daemon carries of one account before it needs a further home daemon; the figures are the
-# load of one daemon at the target size, and half of the default of `max_open_requests`.
+# What one daemon carries of one account before it needs a further home daemon; requests
+# and tokens are the load of one daemon at the target size; streams are kept far below
+# `max_open_requests`, so that an account is spread over several daemons.
 REQUESTS_PER_HOME = 64.0
 STREAMS_PER_HOME = 100
 TOKENS_PER_HOME = 14000.0
--- a/src/lovageway/timing.py
+++ b/src/lovageway/timing.py
@@ -15,7 +15,7 @@
 METRICS = {
     "token_gap_seconds": (
         "histogram",
-        "Time between two writes of a stream's tokens; tokens that arrive together count once.",
+        "Time between a stream's tokens at the daemon; tokens that arrive together count once.",
     ),
     "first_token_seconds": ("histogram", "Time from the request to its first token."),
     "stalled_seconds_total": ("counter", f"Seconds of gaps above {STALL_S} s between tokens."),
