Watch each engine stream with one timer in place of one for each read

aiohttp's sock_read timeout cancels and creates a timer for every read: 14,000 dead entries a second in the loop's heap for 2 s each. One timer a stream re-arms itself at the latest read.

--- a/src/lovageway/adapters/generations.py
+++ b/src/lovageway/adapters/generations.py
@@ -1,5 +1,6 @@
 """Streams of model engines over aiohttp, on the event loop."""
 
+import asyncio
 import json
 
 import aiohttp
@@ -24,10 +25,17 @@
     def __init__(self, resp: aiohttp.ClientResponse, generation: str) -> None:
         self._resp = resp
         self._buffer = b""
+        self._loop = asyncio.get_running_loop()
+        self._reading_since: float | None = None
+        self._silent = False
         self.start_id = resp.headers.get("X-Start-Id", "")
         if resp.headers.get("X-Generation-Id") != generation:
             resp.close()
             raise EngineError("gone", "answer of another generation", self.start_id)
+        if resp.connection is not None and resp.connection.protocol is not None:
+            # aiohttp would cancel and create a timer for each read.
+            resp.connection.protocol.read_timeout = None
+        self._watch: asyncio.TimerHandle | None = self._loop.call_later(IDLE_TIMEOUT_S, self._look)
 
     async def read(self) -> tuple[Token, ...] | None:
         """Return the tokens that have arrived since the last call, None at the end.
@@ -38,7 +46,9 @@
             "stalled" when nothing came for IDLE_TIMEOUT_S, "lost" when the link broke.
         """
         try:
+            self._reading_since = self._loop.time()
             data = await self._resp.content.readany()
+            self._reading_since = None
             if not data:
                 return None
             *events, self._buffer = (self._buffer + data).split(b"\n\n")
@@ -48,14 +58,28 @@
         except TimeoutError as exc:
             raise EngineError("stalled", str(exc), self.start_id) from exc
         except (aiohttp.ClientError, OSError) as exc:
-            raise EngineError("lost", str(exc), self.start_id) from exc
+            failure: Failure = "stalled" if self._silent else "lost"
+            raise EngineError(failure, str(exc), self.start_id) from exc
         except (ValueError, IndexError, msgspec.MsgspecError) as exc:
             raise EngineError("error", f"malformed event: {exc}", self.start_id) from exc
 
     def close(self) -> None:
         """Close the connection; the engine keeps the generation for a while."""
+        if self._watch is not None:
+            self._watch.cancel()
+            self._watch = None
         self._resp.close()
 
+    def _look(self) -> None:
+        """Close a silent connection; one timer for each IDLE_TIMEOUT_S, not one for each token."""
+        now = self._loop.time()
+        since = now if self._reading_since is None else self._reading_since
+        if now - since >= IDLE_TIMEOUT_S:
+            self._silent = True
+            self._resp.close()
+            return
+        self._watch = self._loop.call_at(since + IDLE_TIMEOUT_S, self._look)
+
 
 class Generations:
     """Starts and resumes generations; must be built on a running event loop.
