Deliver the rest of an answer before a stop, and cut callers that read nothing

A planned stop waited for handlers only; what the kernel had not taken of a whole answer was lost with the process, and a closed connection kept its buffer for as long as its caller read nothing.

--- a/src/lovageway/adapters/_listener.py
+++ b/src/lovageway/adapters/_listener.py
@@ -18,6 +18,7 @@
 LINGER_S = 2.0  # closing with unread input resets the connection and can lose the refusal
 CONNECTIONS_A_REQUEST = 2  # idle kept-alive connections beside those that serve a request
 FULL_RETRY_S = 1.0
+FLUSH_POLL_S = 0.05
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 OnRefusal = Callable[[Code], None]
@@ -46,7 +47,7 @@
 class Connection(RequestHandler):
     """One connection; it is closed when no request has been read within SOCKET_TIMEOUT_S."""
 
-    __slots__ = ("_deadline", "_listener", "_partial", "_refused")
+    __slots__ = ("_deadline", "_listener", "_partial", "_refused", "_unsent")
 
     def __init__(self, listener: "Listener", server: web.Server) -> None:
         super().__init__(
@@ -65,6 +66,7 @@
         self._listener = listener
         self._deadline: asyncio.TimerHandle | None = None
         self._partial = self._refused = False
+        self._unsent = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the deadline, or refuse when too many connections are open."""
@@ -86,7 +88,15 @@
 
     def await_request(self) -> None:
         """Close the connection unless a request comes in time."""
-        self._partial = False
+        self._partial, self._unsent = False, self.unsent()
+        self._arm()
+
+    def unsent(self) -> int:
+        """Return how many bytes wait for the caller to read."""
+        transport = self.transport
+        return transport.get_write_buffer_size() if isinstance(transport, asyncio.Transport) else 0
+
+    def _arm(self) -> None:
         if self.transport is not None:
             loop = asyncio.get_running_loop()
             self._deadline = loop.call_later(SOCKET_TIMEOUT_S, self._late)
@@ -123,7 +133,15 @@
         return response
 
     def _late(self) -> None:
-        if self._partial:
+        unsent = self.unsent()
+        if 0 < self._unsent <= unsent:
+            # The caller has read nothing of its answer: closing would wait for it without end.
+            assert isinstance(self.transport, asyncio.Transport)
+            self.transport.abort()
+        elif unsent:
+            self._unsent = unsent
+            self._arm()
+        elif self._partial:
             refusal = Refusal(Code.MALFORMED, "The request was not sent in time.")
             self._refuse(refusal._replace(earlier="unknown"))
         else:
@@ -182,6 +200,9 @@
         """Accept nothing new, wait for the open requests and close the connections."""
         self._server.close()
         await self._idle.wait()
+        # The rest of an answer must reach its caller; one that does not read is cut by `_late`.
+        while any(conn.unsent() for conn in self._web.connections if isinstance(conn, Connection)):
+            await asyncio.sleep(FLUSH_POLL_S)
         self._web.pre_shutdown()
         await self._web.shutdown(LINGER_S)
 
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -1,16 +1,22 @@
 """The callers' listener under slow, numerous and leaving callers (real processes)."""
 
+import asyncio
 import json
 import socket
 import time
 import unittest
+from unittest import mock
 
+from aiohttp import web
 from standins.fleet import Fleet, http, wait_for
 from standins.streams import KEY, Stream
 
+from lovageway.adapters import _listener
 from tests.builders import contract_row, jar_returns_rows
 
 LIMIT = 4
+KERNEL = 8 << 20  # more than the kernel buffers of a connection hold
+LARGE = 3 * KERNEL
 
 
 class Listener(unittest.TestCase):
@@ -106,5 +112,43 @@
         self.assertRegex(text, f"lovageway_stalled_seconds_total{labels} ")
 
 
+class Stopping(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        # The times for which a caller may read nothing and a stop waits at the end, shortened.
+        self.enterContext(mock.patch.object(_listener, "SOCKET_TIMEOUT_S", 0.5))
+        self.enterContext(mock.patch.object(_listener, "LINGER_S", 0.1))
+        self.listener = _listener.Listener(LIMIT, lambda code: None)
+        address = await self.listener.bind("127.0.0.1", 0)
+        await self.listener.start(self.answer)
+        self.conn = self.enterContext(socket.socket())
+        self.conn.setblocking(False)
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(self.conn, (host, int(port)))
+        await loop.sock_sendall(self.conn, b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.seen = len(await loop.sock_recv(self.conn, 1))
+
+    async def answer(self, request):
+        return web.Response(body=b"x" * LARGE)
+
+    async def test_a_stop_waits_for_a_caller_that_reads_slowly(self):
+        # Guards against a planned stop that cuts the rest of an answer.
+        seen_at_stop = []
+        stop = asyncio.create_task(self.listener.stop())
+        stop.add_done_callback(lambda _: seen_at_stop.append(self.seen))
+        while data := await asyncio.get_running_loop().sock_recv(self.conn, 1 << 20):
+            self.seen += len(data)
+            await asyncio.sleep(0.1)
+        await stop
+        self.assertGreater(self.seen, LARGE)
+        # The process ends after the stop: what the kernel has not taken by then would be lost.
+        self.assertLess(LARGE - seen_at_stop[0], KERNEL)
+
+    async def test_a_stop_does_not_wait_for_a_caller_that_reads_nothing(self):
+        # Guards against a daemon, and memory, that one caller holds for ever.
+        async with asyncio.timeout(10):
+            await self.listener.stop()
+
+
 if __name__ == "__main__":
     unittest.main()
