--- a/bench/streams.py
+++ b/bench/streams.py
@@ -1,7 +1,7 @@
-"""CPU, memory and gaps between tokens of streamed completions: threads against an event loop.
+"""CPU, memory and gaps between tokens of streamed completions: the daemon and a bare relay.
 
-Runs a real daemon (one cheroot thread for each stream, urllib3 towards the engines) and, as the
-alternative, a minimal asyncio relay that does the same parsing, on the same engines and streams.
+Runs a real daemon (aiohttp towards callers and engines) and, as the lower bound of an event loop,
+a minimal asyncio relay that does the same parsing, on the same engines and streams.
 
     python -m bench.streams --streams 50 100 200 --seconds 10
 """
@@ -10,6 +10,7 @@
 import asyncio
 import json
 import os
+import re
 import sys
 import time
 
@@ -19,6 +20,7 @@
 from bench.process import cpu_s, rss_mb
 
 ENGINES = 6
+EVENT_ID = re.compile(rb"^id: (\d+)\n", re.MULTILINE)
 STEP_MS = 25.0  # an engine step lengthens with its batch to about 50 ms when it is full
 
 
@@ -29,11 +31,13 @@
     body = json.dumps({"model": "crock-llm", "prompt": f"{number} len={tokens}", "stream": True})
     head = "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer clerks-key\r\n"
     writer.write(f"{head}Content-Length: {len(body)}\r\n\r\n{body}".encode())
-    seen, last = 0, None
+    seen, last, tail = 0, None, b""
     while data := await reader.read(65536):
         now = time.perf_counter()
-        if count := data.count(b"id: "):
-            seen += count
+        data = tail + data
+        # The daemon writes tokens that arrive together as one event with the id of the last one.
+        if ids := EVENT_ID.findall(data):
+            seen = int(ids[-1]) + 1
             if last is not None:
                 gaps.append((now - last) * 1000)
             last = now
@@ -42,12 +46,13 @@
             break
         if b"[DONE]" in data:
             break
+        tail = data[data.rfind(b"\n") + 1 :]
     writer.close()
     return seen
 
 
 async def relay(reader, writer, engines, counter):
-    """Serve one stream on the event loop: the alternative to a thread."""
+    """Serve one stream with nothing but asyncio."""
     head = await reader.readuntil(b"\r\n\r\n")
     length = int(head.lower().partition(b"content-length: ")[2].split(b"\r\n")[0])
     body = await reader.readexactly(length)
@@ -91,9 +96,15 @@
     asyncio.run(main())
 
 
-async def load(address, streams, tokens):
+async def load(address, streams, tokens, spread_s):
     gaps, refused = [], []
-    reads = [read_stream(address, number, tokens, gaps, refused) for number in range(streams)]
+
+    async def read(number):
+        # All streams in one moment would overflow the admission queue of a class.
+        await asyncio.sleep(spread_s * number / streams)
+        return await read_stream(address, number, tokens, gaps, refused)
+
+    reads = [read(number) for number in range(streams)]
     seen = sum(await asyncio.gather(*reads))
     gaps.sort()
     for refusal in refused[:3]:
@@ -101,9 +112,9 @@
     return seen, gaps
 
 
-def measure(name, process, streams, tokens):
+def measure(name, process, streams, tokens, spread_s):
     pid, before, started = process.popen.pid, cpu_s(process.popen.pid), time.perf_counter()
-    seen, gaps = asyncio.run(load(process.address, streams, tokens))
+    seen, gaps = asyncio.run(load(process.address, streams, tokens, spread_s))
     used, wall = cpu_s(pid) - before, time.perf_counter() - started
     p50, p99 = (gaps[int(len(gaps) * part)] if gaps else 0.0 for part in (0.5, 0.99))
     print(
@@ -118,6 +129,7 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--streams", type=int, nargs="+", default=[50, 100, 200])
     parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--spread", type=float, default=0.0, help="seconds in which streams begin")
     parser.add_argument("--relay", nargs="+", help=argparse.SUPPRESS)
     args = parser.parse_args()
     if args.relay:
@@ -135,7 +147,7 @@
             fleet.backend(f"crock-{n}", "crock-llm", "khangai", "engine", *options)
             for n in range(ENGINES)
         ]
-        daemon = fleet.daemon("entry-0", "khangai", worker_threads=most + 20)
+        daemon = fleet.daemon("entry-0", "khangai", max_open_requests=most + 20)
         rows = jar_returns_rows()
         rows["contract/clerks"] = contract_row("clerks", concurrency=2000, tokens_per_s=1e6)
         rows["service/crock-llm"].update(full_slots=int(slots), cold_slots=int(slots))
@@ -146,8 +158,8 @@
         loop = fleet._start([sys.executable, "-m", "bench.streams", "--relay", *addresses])
         for streams in args.streams:
             tokens = int(args.seconds * 20)
-            measure("event loop (alternative)", loop, streams, tokens)
-            measure("daemon (threads)", daemon, streams, tokens)
+            measure("bare relay", loop, streams, tokens, args.spread)
+            measure("daemon", daemon, streams, tokens, args.spread)
     return None
 
 
