--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -89,6 +89,15 @@
         error = json.loads(answer.partition(b"\r\n\r\n")[2])["error"]
         self.assertEqual((error["code"], error["ran"]), (4001, "no"))
 
+    def test_a_body_whose_chunks_are_broken_is_refused_with_a_number(self):
+        # Guards against a parser error in a body that ends without an answer.
+        head = b"POST /v1/completions HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+        for chunks in (b"zz\r\n", b"5\r\n{}xxxxx\r\n"):
+            conn = self.connect(head + chunks)
+            answer = conn.makefile("rb").read()
+            error = json.loads(answer.partition(b"\r\n\r\n")[2])["error"]
+            self.assertEqual((error["code"], error["ran"]), (4001, "no"))
+
     def test_requests_beyond_the_setting_are_refused_and_those_within_it_are_served(self):
         # Guards against a number of open requests that only the callers bound.
         streams = [self.ask(300).read(2) for _ in range(LIMIT)]
