Check claims and configuration with 48 daemons while some are killed

python -m bench.invariants starts the daemons, sends keyed calls with resends through random ones, applies changes and kills and restarts daemons; the ledgers of the plain stand-ins judge. Not part of the test suite.

--- /dev/null
+++ b/bench/invariants.py
@@ -0,0 +1,178 @@
+"""Keyed calls and configuration changes through many daemons, some of which are killed meanwhile.
+
+``python -m bench.invariants [--daemons 48] [--seconds 60] [--seed 1]``
+
+Each call is sent up to 1 + RESENDS times through random daemons. The ledgers of the plain stand-ins
+are the judge. Ends with exit code 1 when a key ran twice, a caller was told something untrue, or
+accepted versions do not ascend or the last one does not come into force.
+A daemon takes about 55 MB.
+"""
+
+import argparse
+import json
+import os
+import random
+import sys
+import threading
+import time
+from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
+
+from standins.fleet import Fleet, http, post, wait_for
+from tests.builders import JAR_ZONES, contract_row, jar_returns_rows
+from urllib3.exceptions import HTTPError
+
+CALLERS = 8
+RESENDS = 4
+MAX_PAUSE_S = 0.5
+CALL_S = 0.3  # with immediate answers no call was under way when its daemon was killed
+KILL_INTERVAL_S = 3.0
+CHANGE_INTERVAL_S = 1.0
+
+
+class Calls:
+    """Sends keyed calls and keeps what callers were told, by key."""
+
+    def __init__(self, fleet, seed):
+        self.fleet, self.seed = fleet, seed
+        self.told = {}  # key -> list of (status, body or None)
+        self.stopped = threading.Event()
+
+    def run(self, number):
+        """Send one key after the other until `stopped`."""
+        rng, turn = random.Random(f"{self.seed}/{number}"), 0
+        while not self.stopped.is_set():
+            key, turn = f"key-{number}-{turn}", turn + 1
+            answers = self.told[key] = []
+            for _ in range(1 + RESENDS):
+                answers.append(self.send(rng.choice(list(self.fleet.daemons.values())), key))
+                if answers[-1][0] == 200 and rng.random() < 0.8:
+                    break
+                time.sleep(rng.uniform(0.0, MAX_PAUSE_S))
+
+    def send(self, daemon, key):
+        """Return the status and the body, 0 and None when the answer was lost."""
+        headers = {"Authorization": "Bearer clerks-key", "Idempotency-Key": key}
+        url = f"http://{daemon.address}/v1/services/counter-app/refund"
+        try:
+            resp = http.request("POST", url, json={"jar": 1}, headers=headers)
+            return resp.status, json.loads(resp.data)
+        except (HTTPError, ValueError):
+            return 0, None
+
+    def faults(self, effects):
+        """Return what contradicts the ledger."""
+        found = []
+        for key, answers in self.told.items():
+            receipts = {body["receipt"] for status, body in answers if status == 200}
+            sure = all(status and status != 200 and said(body) == "no" for status, body in answers)
+            if effects[key] > 1:
+                found.append(f"{key} ran {effects[key]} times")
+            if len(receipts) > 1 or (receipts and not effects[key]):
+                found.append(f"{key}: answers {receipts}, {effects[key]} effects")
+            if sure and effects[key]:
+                found.append(f"{key} ran, but every answer said that it did not")
+        return found
+
+
+def said(body):
+    """Return what a refusal says of the effect."""
+    return body["error"]["ran"]
+
+
+def start(size):
+    fleet = Fleet()
+    plain = [
+        fleet.backend(f"counter-{number}", "counter-app", JAR_ZONES[number], "plain")
+        for number in range(3)
+    ]
+    for process in plain:
+        post(process.address, "/control", {"delay_s": CALL_S})
+    for number in range(size):
+        fleet.daemon(f"entry-{number}", JAR_ZONES[number % 3])
+    fleet.write_configuration(jar_returns_rows())
+    fleet.publish_vms()
+    fleet.wait_ready()
+    return fleet, plain
+
+
+def disturb(fleet, rng, until):
+    """Kill daemons and start others in their place; returns how many."""
+    kills = 0
+    while time.monotonic() < until:
+        time.sleep(KILL_INTERVAL_S)
+        name = rng.choice(list(fleet.daemons))
+        fleet.daemons[name].kill()
+        fleet.daemon(name, fleet.vms[name]["zone"])
+        fleet.publish_vms()
+        kills += 1
+    return kills
+
+
+def change(fleet, rng, until):
+    """Apply changes through random daemons; returns the accepted versions, ascending or not."""
+    versions = []
+    while time.monotonic() < until:
+        time.sleep(CHANGE_INTERVAL_S)
+        number = len(versions)
+        row = contract_row("counter", concurrency=100 + number)
+        daemon = rng.choice(list(fleet.daemons.values()))
+        try:
+            status, answer = fleet.apply(
+                daemon, f"bench-{rng.getrandbits(64):x}", {"contract/counter": row}
+            )
+        except (HTTPError, ValueError):
+            continue  # the daemon was killed
+        if status == 200:
+            versions.append(answer["version"])
+    return versions
+
+
+def ledger(plain):
+    """Return the number of effects by key."""
+    effects = Counter()
+    for process in plain:
+        found = json.loads(http.request("GET", f"http://{process.address}/ledger").data)
+        effects.update(effect["key"] for effect in found["effects"])
+    return effects
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--daemons", type=int, default=48)
+    parser.add_argument("--seconds", type=float, default=60.0)
+    parser.add_argument("--seed", type=int, default=1)
+    args = parser.parse_args()
+    load = " ".join(f"{value:.1f}" for value in os.getloadavg())
+    print(
+        f"seed {args.seed}, {args.daemons} daemons, {args.seconds:.0f} s, load {load}", flush=True
+    )
+    fleet, plain = start(args.daemons)
+    with fleet, ThreadPoolExecutor(CALLERS + 2) as pool:
+        calls, until = Calls(fleet, args.seed), time.monotonic() + args.seconds
+        callers = [pool.submit(calls.run, number) for number in range(CALLERS)]
+        changes = pool.submit(change, fleet, random.Random(args.seed + 1), until)
+        try:
+            kills = disturb(fleet, random.Random(args.seed), until)
+            versions = changes.result()
+        finally:
+            calls.stopped.set()
+        for caller in callers:
+            caller.result()
+        faults = calls.faults(ledger(plain))
+        if not versions or versions != sorted(set(versions)):
+            faults.append(f"accepted versions do not ascend: {versions}")
+        began = time.monotonic()
+        last = max(versions, default=1)
+        wait_for(lambda: min(fleet.versions()) >= last, "the last version everywhere")
+        settled_s = time.monotonic() - began
+    answers = [item for found in calls.told.values() for item in found]
+    codes = Counter(b["error"]["code"] if b and "error" in b else s for s, b in answers)
+    print(f"{len(calls.told)} keys, {len(answers)} submissions, answers {dict(codes)}")
+    print(f"{kills} daemons killed, {len(versions)} changes, last in force after {settled_s:.2f} s")
+    print("\n".join(faults) or "no fault")
+    sys.exit(bool(faults))
+
+
+if __name__ == "__main__":
+    main()
