--- a/src/lovageway/filters/admission.py
+++ b/src/lovageway/filters/admission.py
@@ -15,7 +15,7 @@
 from lovageway.filters.routing import BATCH_PART, NO_SERVER_RETRY_S, REMAINDER_PART, Routing
 from lovageway.model import BATCH, INTERACTIVE
 
-# Every waiting request occupies a worker thread; batch must not take those of interactive ones.
+# Bounds what callers wait for in vain; batch has the smaller part of the open requests.
 MAX_WAITING = {INTERACTIVE: 128, BATCH: 64}
 # Only the first waiting requests ask for more credit. When all of them did, their lines to the
 # owners of servers used up the budget of share messages, and account shares expired (4205).
--- a/tests/test_sample.py
+++ b/tests/test_sample.py
@@ -40,6 +40,16 @@
                     self.assertFalse(any(node.has_majority() for node in small))
                     self.assertTrue(all(node.has_majority() for node in large))
 
+    def test_a_daemon_whose_messages_are_lost_on_the_way_out_loses_contact(self):
+        # Guards against an owner that hears others while they find it dead.
+        net = self.settled(5, 0.0)
+        silent = identity(0).peer_address
+        net.is_cut = lambda source, target: source == silent
+        net.run(NOTICED_S)
+        self.assertFalse(net.nodes[silent].has_majority())
+        others = [node for address, node in net.nodes.items() if address != silent]
+        self.assertTrue(all(node.has_majority() for node in others))
+
     def test_both_sides_regain_contact_when_the_partition_ends(self):
         # Guards against a daemon that stays cut off although its peers answer again.
         net = self.settled(7, 0.0)
