Move the contact sample out of the membership controller

ContactSample now pings through a function that it is given and decides by itself when to repeat, conclude and renew. The unit tests of the sample use the new interface with the same expectations; one more checks that a daemon that is cut off goes on sampling.

--- a/src/lovageway/controllers/_sample.py
+++ b/src/lovageway/controllers/_sample.py
@@ -5,24 +5,39 @@
 """
 
 import math
-from collections.abc import Collection
+import random
+from collections.abc import Callable, Iterable
+
+from lovageway.controllers._view import View
+from lovageway.events import Emit, StateChanged
 
 SAMPLE_PEERS = 64  # tells a half from two thirds in 99.6 % of cases; all peers of smaller fleets
 SAMPLE_S = 1.5
 AGAIN_S = 0.75  # then those that were silent are pinged once more, as a message may be lost
 
+Ping = Callable[[str, float, Emit], int | None]
+
 
 class ContactSample:
     """Pings to several peers at once and what their answers show.
 
+    Parameters
+    ----------
+    ping
+        Pings a VM's daemon; returns the number of the ping, None when the VM is not known.
+    rng
+        Chooses the peers.
+
     Attributes
     ----------
     cut_off
         Whether the last sample showed at most half of the counted VMs, this daemon's included.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, ping: Ping, rng: random.Random) -> None:
         self.cut_off = False
+        self._ping = ping
+        self._rng = rng
         self._began = -math.inf
         self._again = False
         self._asked: dict[int, str] = {}
@@ -35,16 +50,29 @@
         """Tell whether answers are awaited."""
         return self._size > 0
 
-    def begin(self, vm_ids: Collection[str], peers: int, now: float) -> None:
-        """Start with some of the `peers` that are taken for live; they are to be pinged next."""
-        self._began, self._again, self._peers = now, False, peers
+    def begin(self, view: View, now: float, emit: Emit) -> None:
+        """Ping some of the peers that are taken for live, unless a sample runs."""
+        if self.running:
+            return
+        chosen = self._rng.sample(view.peers, min(SAMPLE_PEERS, len(view.peers)))
+        self._began, self._again, self._peers = now, False, len(view.peers)
         self._asked.clear()
-        self._silent = set(vm_ids)
-        self._size = len(self._silent)
+        self._silent = set(chosen)
+        self._size = len(chosen)
+        self._send(chosen, now, emit)
 
-    def asked(self, seq: int, vm_id: str) -> None:
-        """Note a ping."""
-        self._asked[seq] = vm_id
+    def tick(self, view: View, now: float, emit: Emit) -> None:
+        """Repeat, conclude or renew the sample; a daemon that is cut off samples all the time."""
+        if self.running and not self._again and now >= self._began + AGAIN_S:
+            self._again = True
+            self._send(sorted(self._silent), now, emit)
+        if self.running:
+            self._conclude(view.counted, now, emit)
+        if self.cut_off and not self.running:
+            if view.peers:
+                self.begin(view, now, emit)
+            else:
+                self.cut_off = False  # the view itself has no majority
 
     def answered(self, seq: int) -> None:
         """Note the answer to a ping."""
@@ -54,29 +82,19 @@
         """Wait longer by a pause of this process, in which no answer could be read."""
         self._began += pause
 
-    def to_repeat(self, now: float) -> list[str]:
-        """Return the peers to ping once more now."""
-        if self._again or not self.running or now < self._began + AGAIN_S:
-            return []
-        self._again = True
-        return sorted(self._silent)
-
-    def conclude(self, counted: int, now: float) -> bool:
-        """End the sample when it is clear; return whether `cut_off` has changed.
-
-        Parameters
-        ----------
-        counted
-            VMs of which more than half are a majority, this daemon's included.
-        now
-            Seconds.
-        """
-        if not self.running:
-            return False
+    def _send(self, vm_ids: Iterable[str], now: float, emit: Emit) -> None:
+        for vm_id in vm_ids:
+            seq = self._ping(vm_id, now, emit)
+            if seq is not None:
+                self._asked[seq] = vm_id
+
+    def _conclude(self, counted: int, now: float, emit: Emit) -> None:
+        """End the sample when it is clear; `counted` VMs need more than half for a majority."""
+        # The peers in the sample stand for all that were taken for live when it began.
         answered = (self._size - len(self._silent)) / self._size
         majority = 2 * (1 + self._peers * answered) > counted
         if not majority and now < self._began + SAMPLE_S:
-            return False
-        changed = self.cut_off == majority
+            return
+        if self.cut_off == majority:
+            emit(StateChanged("contact_sample", {"cut_off": not majority}))
         self.cut_off, self._size = not majority, 0
-        return changed
--- a/src/lovageway/controllers/membership.py
+++ b/src/lovageway/controllers/membership.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from lovageway.controllers._contacts import CONTACT_INTERVAL_S, Contacts
-from lovageway.controllers._sample import SAMPLE_PEERS, SAMPLE_S, ContactSample
+from lovageway.controllers._sample import SAMPLE_S, ContactSample
 from lovageway.controllers._swim import (
     DEAD,
     LEAVING,
@@ -112,7 +112,7 @@
         self._heard_at = 0.0
         self._round: list[str] = []
         self._probe: _Probe | None = None
-        self._sample = ContactSample()
+        self._sample = ContactSample(self._ping_vm, rng)
         self._relays: dict[int, _Relay] = {}
         self._synced = False
         self._seq = 0
@@ -236,7 +236,10 @@
         if self._due("list", now, self._list_interval()):
             emit(ReadVmList())
         self._conclude_probe(now, emit)
-        self._check_contact(now, emit)
+        self._sample.tick(self._current(), now, emit)
+        # Its own pings may all have gone to its own side of a partition.
+        if self._table.suspicions() >= SUSPECTS_TO_SAMPLE and self._due("sample", now, SAMPLE_S):
+            self._sample.begin(self._current(), now, emit)
         for member in self._table.expire(now):
             self._changed(member, emit)
         if self._due("ping", now, PING_INTERVAL_S):
@@ -375,46 +378,16 @@
             self._fail(probe, now, emit)
         elif not probe.indirect and now - probe.sent_at >= PING_TIMEOUT_S:
             self._probe = probe._replace(indirect=True)
-            if not self._sample.running:
-                self._sample_contact(now, emit)
+            self._sample.begin(self._current(), now, emit)
             target = self.peer_address(probe.node)
             helpers = [item for item in self._live_peers() if item.node != probe.node]
             if target is not None:
                 for helper in self._rng.sample(helpers, min(INDIRECT_PEERS, len(helpers))):
                     emit(SendPeer(helper.peer_address, PingRequest(probe.seq, target)))
 
-    def _sample_contact(self, now: float, emit: Emit) -> None:
-        """Ping several peers at once; one that does not answer may be one of many."""
-        peers = self._current().peers
-        chosen = self._rng.sample(peers, min(SAMPLE_PEERS, len(peers)))
-        self._sample.begin(chosen, len(peers), now)
-        self._ping_sample(chosen, now, emit)
-
-    def _check_contact(self, now: float, emit: Emit) -> None:
-        """Repeat, conclude or renew the sample; a daemon that is cut off samples all the time."""
-        self._ping_sample(self._sample.to_repeat(now), now, emit)
-        view = self._current()
-        if self._sample.conclude(view.counted, now):
-            emit(StateChanged("contact_sample", {"cut_off": self._sample.cut_off}))
-        if self._sample.cut_off and not self._sample.running:
-            if view.peers:
-                self._sample_contact(now, emit)
-            else:
-                self._sample.cut_off = False  # the view itself has no majority
-        elif (
-            self._table.suspicions() >= SUSPECTS_TO_SAMPLE
-            and not self._sample.running
-            and self._due("sample", now, SAMPLE_S)
-        ):
-            # Its own pings may all have gone to its own side of a partition.
-            self._sample_contact(now, emit)
-
-    def _ping_sample(self, vm_ids: Sequence[str], now: float, emit: Emit) -> None:
-        for vm_id in vm_ids:
-            member = self._table.get(vm_id)
-            if member is not None:
-                seq = self._ping(member.peer_address, member.node, now, emit)
-                self._sample.asked(seq, vm_id)
+    def _ping_vm(self, vm_id: str, now: float, emit: Emit) -> int | None:
+        member = self._table.get(vm_id)
+        return self._ping(member.peer_address, member.node, now, emit) if member else None
 
     def _fail(self, probe: _Probe, now: float, emit: Emit) -> None:
         member = self._table.get(probe.vm_id)
--- a/tests/test_sample.py
+++ b/tests/test_sample.py
@@ -1,11 +1,14 @@
 """A daemon notices in time that it is on the smaller side of a partition, and only then."""
 
+import random
 import unittest
 
 from lovageway.controllers._sample import AGAIN_S, SAMPLE_S, ContactSample
 from lovageway.controllers._swim import SUSPICION_S
+from lovageway.controllers._view import View
 from lovageway.controllers.membership import PROBE_TIMEOUT_S
 from lovageway.controllers.ownership import DETECTION_SPREAD_S
+from lovageway.messages import Member
 from tests.test_membership import Net, identity
 
 # The larger side finds nobody dead earlier than this after the cut, and its new owners wait as if
@@ -72,45 +75,72 @@
 
 class Sample(unittest.TestCase):
     def setUp(self):
-        self.sample = ContactSample()
-        self.sample.begin(["a", "b", "c", "d"], 4, 0.0)
-        for seq, vm_id in enumerate("abcd"):
-            self.sample.asked(seq, vm_id)
+        self.pings, self.effects = [], []
+        self.sample = ContactSample(self.ping, random.Random(1))
+        self.view = self.view_of(5)
+        self.sample.begin(self.view, 0.0, self.effects.append)
+
+    def ping(self, vm_id, now, emit):
+        self.pings.append(vm_id)
+        return len(self.pings)
+
+    def view_of(self, counted):
+        nodes = [Member(f"{name}/1", "", "", "", 0, "live") for name in "mabcd"]
+        return View(nodes[0], nodes[1:], "mabcd"[:counted])
+
+    def answer(self, *vm_ids):
+        for vm_id in vm_ids:
+            self.sample.answered(self.pings.index(vm_id) + 1)
+
+    def tick(self, now):
+        self.sample.tick(self.view, now, self.effects.append)
+        return self.sample.cut_off
 
     def test_it_ends_as_soon_as_a_majority_has_answered(self):
         # Guards against seconds without contact after a partition has ended.
-        self.sample.answered(0)
-        self.assertFalse(self.sample.conclude(5, 0.1))
+        self.answer("a")
+        self.assertFalse(self.tick(0.1))
         self.assertTrue(self.sample.running)
-        self.sample.answered(1)
-        self.sample.conclude(5, 0.2)
-        self.assertEqual((self.sample.running, self.sample.cut_off), (False, False))
+        self.answer("b")
+        self.assertFalse(self.tick(0.2))
+        self.assertFalse(self.sample.running)
 
     def test_silent_peers_are_pinged_once_more(self):
         # Guards against a lost message that is taken for a partition.
-        self.sample.answered(0)
-        self.assertEqual(self.sample.to_repeat(AGAIN_S), ["b", "c", "d"])
-        self.assertEqual(self.sample.to_repeat(AGAIN_S), [])
+        self.answer("a")
+        self.tick(AGAIN_S)
+        self.tick(AGAIN_S + 0.1)
+        self.assertEqual(self.pings[4:], ["b", "c", "d"])
 
     def test_half_of_the_vms_is_no_majority(self):
         # Guards against two sides of an even split that both go on.
-        self.sample.answered(0)
-        self.assertTrue(self.sample.conclude(4, SAMPLE_S))
-        self.assertTrue(self.sample.cut_off)
+        self.view = self.view_of(4)  # "d" is not listed
+        self.sample = ContactSample(self.ping, random.Random(1))
+        self.sample.begin(self.view, 0.0, self.effects.append)
+        self.sample.answered(len(self.pings))
+        self.assertTrue(self.tick(SAMPLE_S))
+
+    def test_a_daemon_that_is_cut_off_samples_until_a_majority_answers(self):
+        # Guards against a daemon that never serves again after a partition.
+        self.assertTrue(self.tick(SAMPLE_S))
+        self.assertTrue(self.sample.running)
+        for seq in range(5, 9):
+            self.sample.answered(seq)
+        self.assertTrue(self.tick(SAMPLE_S + 0.1), "these answer the first sample")
+        for seq in range(9, len(self.pings) + 1):
+            self.sample.answered(seq)
+        self.assertFalse(self.tick(SAMPLE_S + 0.2))
 
     def test_a_pause_of_this_process_is_not_taken_for_silence(self):
         # Guards against a daemon that gives up contact before it has read the answers.
         self.sample.postpone(10.0)
-        self.assertFalse(self.sample.conclude(5, 10.0 + SAMPLE_S / 2))
-        self.assertFalse(self.sample.cut_off)
+        self.assertFalse(self.tick(10.0 + SAMPLE_S / 2))
 
     def test_an_answer_to_an_earlier_sample_does_not_count(self):
         # Guards against a late answer from before the cut.
-        self.sample.begin(["a", "b", "c", "d"], 4, 5.0)
-        for seq in range(4):
-            self.sample.answered(seq)
-        self.sample.conclude(5, 5.0 + SAMPLE_S)
-        self.assertTrue(self.sample.cut_off)
+        self.assertTrue(self.tick(SAMPLE_S))
+        self.answer("a", "b", "c", "d")
+        self.assertTrue(self.tick(SAMPLE_S + 0.1))
 
 
 if __name__ == "__main__":
