--- a/bench/idle.py
+++ b/bench/idle.py
@@ -26,9 +26,9 @@
     return int(sizes["Rss"]) / 1024, private / 1024, len(os.listdir(f"/proc/{pid}/task"))
 
 
-def measure(seconds, settings):
+def measure(seconds):
     with Fleet() as fleet:
-        daemon = fleet.daemon("entry-0", "khangai", **settings)
+        daemon = fleet.daemon("entry-0", "khangai")
         fleet.write_configuration(jar_returns_rows())
         fleet.publish_vms()
         fleet.wait_ready()
@@ -43,13 +43,11 @@
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--runs", type=int, default=3)
-    parser.add_argument("--worker-threads", type=int, help="Default: that of the settings.")
     args = parser.parse_args()
     print(f"{vars(args)}, load average {os.getloadavg()[0]:.1f}")
-    settings = {"worker_threads": args.worker_threads} if args.worker_threads else {}
     print("| RSS MB | private MB | threads | CPU % of a core |\n|---|---|---|---|")
     for _ in range(args.runs):
-        rss, private, threads, cpu = measure(args.seconds, settings)
+        rss, private, threads, cpu = measure(args.seconds)
         print(f"| {rss:.1f} | {private:.1f} | {threads} | {cpu:.2f} |", flush=True)
 
 
