Name the clients of backend servers apart from their controller

Cause: exchange.Backends and controllers.backends.Backends were two classes of one name. The first is BackendClients now. No change of behaviour; mypy and ruff pass.

--- a/src/lovageway/adapters/callers.py
+++ b/src/lovageway/adapters/callers.py
@@ -22,7 +22,7 @@
 from lovageway.codes import Code, Refusal
 from lovageway.controllers.discovery import TTL_S
 from lovageway.events import Request, StreamCancelled
-from lovageway.exchange import Backends, Exchange, Opened
+from lovageway.exchange import BackendClients, Exchange, Opened
 from lovageway.model import Contract
 from lovageway.runtime import Runtime
 from lovageway.timing import Timing
@@ -54,7 +54,7 @@
     def __init__(
         self,
         runtime: Runtime,
-        backends: Backends,
+        backends: BackendClients,
         timing: Timing,
         resume_keys: Sequence[bytes],
         on_refusal: OnRefusal,
--- a/src/lovageway/daemon.py
+++ b/src/lovageway/daemon.py
@@ -48,7 +48,7 @@
     Transact,
     VmListRead,
 )
-from lovageway.exchange import Backends
+from lovageway.exchange import BackendClients
 from lovageway.messages import Message
 from lovageway.metrics import Metrics
 from lovageway.model import Identity
@@ -141,7 +141,7 @@
             Node(ident, random.Random(), self._options()), time.monotonic, self._perform
         )
         self._generations = Generations()
-        backends = Backends(self._generations, PlainServices(), self._call_pool)
+        backends = BackendClients(self._generations, PlainServices(), self._call_pool)
         operator_keys = [read_secret(path) for path in self._cfg.keys.operator_key_files]
         resume_keys = [read_secret(path) for path in self._cfg.keys.resume_key_files]
         self._callers = Callers(
--- a/src/lovageway/exchange.py
+++ b/src/lovageway/exchange.py
@@ -81,7 +81,7 @@
 """Takes the next part of an answer; returns when more may follow."""
 
 
-class Backends(NamedTuple):
+class BackendClients(NamedTuple):
     """What reaches the backend servers."""
 
     generations: Generations
@@ -119,7 +119,7 @@
     def __init__(
         self,
         runtime: Runtime,
-        backends: Backends,
+        backends: BackendClients,
         timing: Timing,
         req: Request,
         body: dict[str, object] | bytes = b"",
