Write refusals that end a connection in one place

Cause: the operators' and the callers' listener each built the same bytes of a refusal outside any handler. Both call last_response in adapters/_http.py now.

--- a/src/lovageway/adapters/_http.py
+++ b/src/lovageway/adapters/_http.py
@@ -31,12 +31,7 @@
         refusal = Refusal(code, str(msg)[:200])
         if b"Idempotency-Key" in self.inheaders:
             refusal = refusal._replace(earlier="unknown")
-        body = json.dumps(refusal.to_json())
-        head = (
-            f"{self.server.protocol} {status}\r\nContent-Type: application/json\r\n"
-            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
-        )
-        self.conn.wfile.write((head + body).encode("latin-1", errors="replace"))
+        self.conn.wfile.write(last_response(f"{self.server.protocol} {status}", refusal))
 
 
 class _Connection(HTTPConnection):
@@ -48,6 +43,16 @@
     on_refusal: Callable[[Code], None]
 
 
+def last_response(status_line: str, refusal: Refusal) -> bytes:
+    """Return the bytes of a refusal that ends a connection outside any handler."""
+    body = json.dumps(refusal.to_json())
+    head = (
+        f"{status_line}\r\nContent-Type: application/json\r\n"
+        f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+    )
+    return (head + body).encode("latin-1", errors="replace")
+
+
 def build_server(
     host: str, port: int, threads: int, on_refusal: Callable[[Code], None]
 ) -> wsgi.Server:
--- a/src/lovageway/adapters/_listener.py
+++ b/src/lovageway/adapters/_listener.py
@@ -9,7 +9,7 @@
 from aiohttp.http_exceptions import LineTooLong
 from aiohttp.web_protocol import RequestHandler
 
-from lovageway.adapters._http import BACKLOG, MAX_BODY_BYTES, SOCKET_TIMEOUT_S
+from lovageway.adapters._http import BACKLOG, MAX_BODY_BYTES, SOCKET_TIMEOUT_S, last_response
 from lovageway.codes import INFO, Code, Refusal
 
 MAX_LINE_BYTES = 8190
@@ -153,12 +153,8 @@
         if self.transport is None:
             return
         self._listener.on_refusal(refusal.code)
-        body = json.dumps(refusal.to_json())
-        head = (
-            f"HTTP/1.1 {INFO[refusal.code].status} Refused\r\nContent-Type: application/json\r\n"
-            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
-        )
-        self.transport.write((head + body).encode("latin-1", errors="replace"))
+        status_line = f"HTTP/1.1 {INFO[refusal.code].status} Refused"
+        self.transport.write(last_response(status_line, refusal))
         self.force_close()
 
 
