Declare the options of a contract once

Cause: contract create and contract change repeated eight options and the construction of their values. The fields of _Limits carry the options now, and a decorator puts them into the signature that typer reads. Ruled out: one command for both, which would change the command line.

--- a/src/lovageway/operator.py
+++ b/src/lovageway/operator.py
@@ -1,6 +1,7 @@
 """Operators' commands."""
 
 import hashlib
+import inspect
 import json
 import secrets
 from collections.abc import Callable
@@ -174,45 +175,54 @@
 
 
 class _Limits(NamedTuple):
-    services: list[str] | None
-    requests_per_s: float | None
-    concurrency: int | None
-    tokens_per_s: float | None
-    request_class: str | None
-    delivery: str | None
-    max_wait_s: float | None
-    key_hashes: list[str] | None
+    """Fields of a contract that a command names, with their options."""
+
+    services: Annotated[list[str] | None, typer.Option("--service", help="May be repeated.")] = None
+    requests_per_s: Annotated[float | None, typer.Option("--requests-per-s")] = None
+    concurrency: Annotated[int | None, typer.Option("--concurrency", help="Requests at once.")] = (
+        None
+    )
+    tokens_per_s: Annotated[float | None, typer.Option("--tokens-per-s", help="Output tokens.")] = (
+        None
+    )
+    request_class: Annotated[str | None, typer.Option("--class", help="interactive or batch")] = (
+        None
+    )
+    delivery: Annotated[str | None, typer.Option("--delivery", help="stream or whole")] = None
+    max_wait_s: Annotated[float | None, typer.Option("--max-wait-s")] = None
+    key_hashes: Annotated[
+        list[str] | None,
+        typer.Option("--key-hash", help="SHA-256 of a key, hexadecimal; repeatable."),
+    ] = None
 
     def row(self) -> dict[str, Any]:
         return {name: value for name, value in self._asdict().items() if value}
 
 
-Services = Annotated[list[str] | None, typer.Option("--service", help="May be repeated.")]
-RequestRate = Annotated[float | None, typer.Option("--requests-per-s")]
-Concurrency = Annotated[int | None, typer.Option("--concurrency", help="Requests at once.")]
-TokenRate = Annotated[float | None, typer.Option("--tokens-per-s", help="Output tokens.")]
-RequestClass = Annotated[str | None, typer.Option("--class", help="interactive or batch")]
-Delivery = Annotated[str | None, typer.Option("--delivery", help="stream or whole")]
-MaxWait = Annotated[float | None, typer.Option("--max-wait-s")]
-KeyHashes = Annotated[
-    list[str] | None, typer.Option("--key-hash", help="SHA-256 of a key, hexadecimal; repeatable.")
-]
+def _limit_options(function: Callable[..., None]) -> Callable[..., None]:
+    """Give a command the options of `_Limits` in place of its parameter `limits`."""
+
+    @wraps(function)
+    def run(**values: Any) -> None:
+        limits = _Limits(**{name: values.pop(name) for name in _Limits._fields})
+        function(limits=limits, **values)
+
+    options = list(inspect.signature(_Limits).parameters.values())
+    parameters: list[inspect.Parameter] = []
+    for item in inspect.signature(function).parameters.values():
+        parameters += options if item.name == "limits" else [item]
+    run.__signature__ = inspect.Signature(parameters)  # type: ignore[attr-defined]  # for typer
+    return run
 
 
 @contract_app.command("create")
 @_command
+@_limit_options
 def contract_create(
     name: str,
     address: Addresses,
     key_file: KeyFile,
-    service: Services = None,
-    requests_per_s: RequestRate = None,
-    concurrency: Concurrency = None,
-    tokens_per_s: TokenRate = None,
-    request_class: RequestClass = None,
-    delivery: Delivery = None,
-    max_wait_s: MaxWait = None,
-    key_hash: KeyHashes = None,
+    limits: _Limits,
     as_json: AsJson = False,
     wait: Wait = False,
     timeout_s: Timeout = 30.0,
@@ -222,39 +232,23 @@
     current = session.client.get("/admin/config")
     if f"contract/{name}" in current["rows"]:
         raise CommandError(_client.CONFLICT, f"There is a contract {name}; use contract change.")
-    if not key_hash:
+    if not limits.key_hashes:
         key = secrets.token_urlsafe(24)
-        key_hash = [hashlib.sha256(key.encode()).hexdigest()]
+        limits = limits._replace(key_hashes=[hashlib.sha256(key.encode()).hexdigest()])
         # Standard error keeps the JSON on standard output whole.
         typer.echo(f"Key of {name}, shown only here: {key}", err=True)
-    limits = _Limits(
-        service,
-        requests_per_s,
-        concurrency,
-        tokens_per_s,
-        request_class,
-        delivery,
-        max_wait_s,
-        key_hash,
-    )
     row = {"account": name, **limits.row()}
     change(session, {f"contract/{name}": row}, current, current["version"], wait)
 
 
 @contract_app.command("change")
 @_command
+@_limit_options
 def contract_change(
     name: str,
     address: Addresses,
     key_file: KeyFile,
-    service: Services = None,
-    requests_per_s: RequestRate = None,
-    concurrency: Concurrency = None,
-    tokens_per_s: TokenRate = None,
-    request_class: RequestClass = None,
-    delivery: Delivery = None,
-    max_wait_s: MaxWait = None,
-    key_hash: KeyHashes = None,
+    limits: _Limits,
     as_json: AsJson = False,
     wait: Wait = False,
     timeout_s: Timeout = 30.0,
@@ -263,16 +257,6 @@
     session = Session(Client(address, key_file, timeout_s), as_json)
     current = session.client.get("/admin/config")
     row = _row(current, f"contract/{name}")
-    limits = _Limits(
-        service,
-        requests_per_s,
-        concurrency,
-        tokens_per_s,
-        request_class,
-        delivery,
-        max_wait_s,
-        key_hash,
-    )
     row = {**row, **limits.row()}
     change(session, {f"contract/{name}": row}, current, current["version"], wait)
 
