Read VM ids and addresses with one function each

Cause: the VM of a node id was taken apart in seven places, two of them functions of the same name, and a listed VM's address was searched for in Poison and in Membership. vm_of and address_of stand in model.py now; Membership.server_address is gone.

--- a/src/lovageway/controllers/_spread.py
+++ b/src/lovageway/controllers/_spread.py
@@ -6,7 +6,7 @@
 
 from lovageway.events import Emit, SendPeer
 from lovageway.messages import ConfigPush, ConfigQuery, LogEntry, Member, Message, Ping
-from lovageway.model import Vm
+from lovageway.model import Vm, vm_of
 
 PUSH_PEERS = 4  # told by a daemon that learned a change in another way than from its acceptor
 CONFIRM_S = 0.5  # after which the acceptor pushes again to peers that have not confirmed
@@ -79,7 +79,7 @@
 
     def vm_id(self) -> str:
         """Return this daemon's VM."""
-        return self.members.node.partition("/")[0] if self.members else ""
+        return vm_of(self.members.node) if self.members else ""
 
     def heard(self, node: str, address: str, version: int, now: float) -> None:
         """Note the version that a peer told."""
@@ -148,12 +148,12 @@
         in_force, missing = [], []
         for item in view.live():
             known = mine if item.node == view.node else self.version_of(item.node)
-            vm_id = item.node.partition("/")[0]
+            vm_id = vm_of(item.node)
             if known >= version:
                 in_force.append(vm_id)
             else:
                 missing.append({"vm_id": vm_id, "version": known})
-        live = {item.node.partition("/")[0] for item in view.live()}
+        live = {vm_of(item.node) for item in view.live()}
         listed = {vm.vm_id for vm in view.vms if vm.role == "entry"}
         return {
             "version": version,
--- a/src/lovageway/controllers/_swim.py
+++ b/src/lovageway/controllers/_swim.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from lovageway.messages import Member
+from lovageway.model import vm_of
 
 LIVE, SUSPECT, LEAVING, DEAD = "live", "suspect", "leaving", "dead"
 MAX_UPDATES = 12  # entries in one message; bounds a ping to about 1 KB
@@ -34,11 +35,6 @@
     rank: int
 
 
-def vm_of(node: str) -> str:
-    """Return the VM id in a node id."""
-    return node.partition("/")[0]
-
-
 def order(member: Member) -> Order:
     """Return the precedence of an entry."""
     return Order(member.incarnation, member.node.partition("/")[2], _RANKS[member.state])
--- a/src/lovageway/controllers/_view.py
+++ b/src/lovageway/controllers/_view.py
@@ -3,8 +3,9 @@
 import hashlib
 from collections.abc import Collection, Iterable
 
-from lovageway.controllers._swim import DEAD, LEAVING, vm_of
+from lovageway.controllers._swim import DEAD, LEAVING
 from lovageway.messages import Member
+from lovageway.model import vm_of
 
 MAX_OWNERS = 20000
 
--- a/src/lovageway/controllers/backends.py
+++ b/src/lovageway/controllers/backends.py
@@ -10,12 +10,11 @@
 from lovageway.controllers.holding import Holding
 from lovageway.controllers.ledger import Kind, Limit
 from lovageway.controllers.membership import Membership, rendezvous_weight
-from lovageway.controllers.ownership import vm_of
 from lovageway.controllers.shares import Shares, Source
 from lovageway.controllers.starts import Starts
 from lovageway.events import AttemptFailed, Count, Emit, ReadLoad, SendPeer, StateChanged
 from lovageway.messages import Message, ServerNews
-from lovageway.model import LoadReport, Snapshot, Vm
+from lovageway.model import LoadReport, Snapshot, Vm, vm_of
 
 LOAD_INTERVAL_S = 0.5
 STEADY_INTERVAL_S = 1.0  # between reports of servers whose state has been steady
--- a/src/lovageway/controllers/configuration.py
+++ b/src/lovageway/controllers/configuration.py
@@ -55,7 +55,7 @@
     Message,
     Ping,
 )
-from lovageway.model import EMPTY_SNAPSHOT, Snapshot
+from lovageway.model import EMPTY_SNAPSHOT, Snapshot, vm_of
 
 READS_PER_S = 20.0  # of the head, by the whole fleet
 READ_TIMEOUT_S = 4.0  # above the table client's own 2 s
@@ -201,7 +201,7 @@
         asked = self._spread.asked_at(ConfigQuery, address, msg.seq, now)
         self._standing.relay(msg.version, msg.freshness_s, asked, self.store.version)
         if asked is not None and msg.started:
-            self._standing.answered(sender.partition("/")[0], msg.version, asked)
+            self._standing.answered(vm_of(sender), msg.version, asked)
 
     @_on.register
     def _(self, msg: ConfigPush, sender: str, address: str, now: float, emit: Emit) -> None:
--- a/src/lovageway/controllers/membership.py
+++ b/src/lovageway/controllers/membership.py
@@ -18,14 +18,13 @@
     SUSPECT,
     MemberTable,
     order,
-    vm_of,
     well_formed,
 )
 from lovageway.controllers._view import View, rendezvous_weight
 from lovageway.controllers.base import Controller
 from lovageway.events import Count, Emit, ReadVmList, SendPeer, StateChanged
 from lovageway.messages import Ack, Leaving, Member, MemberPull, Members, Message, Ping, PingRequest
-from lovageway.model import Identity, Vm
+from lovageway.model import Identity, Vm, vm_of
 
 __all__ = ["Membership", "rendezvous_weight"]
 
@@ -158,10 +157,6 @@
         alive = member is not None and member.node == node and member.state != DEAD
         return member.peer_address if member is not None and alive else None
 
-    def server_address(self, server_id: str) -> str | None:
-        """Return the address of a listed VM, None when it is not listed."""
-        return next((vm.address for vm in self.vms if vm.vm_id == server_id), None)
-
     def listed_leaving(self, node: str) -> bool:
         """Tell whether the VM list marks the daemon's VM as leaving."""
         vm = self._listed.get(vm_of(node))
--- a/src/lovageway/controllers/ownership.py
+++ b/src/lovageway/controllers/ownership.py
@@ -5,7 +5,7 @@
 
 from lovageway.controllers.membership import Membership, rendezvous_weight
 from lovageway.messages import Member
-from lovageway.model import Vm
+from lovageway.model import Vm, vm_of
 
 GRANT_S = 2.0
 DRIFT = 1.01  # clocks of two VMs may differ in speed by 1 %
@@ -212,8 +212,3 @@
         """Return the peer address of a daemon, None when it is gone."""
         found = self._members.get(node) or self._leaving.get(node)
         return found.peer_address if found else None
-
-
-def vm_of(node: str) -> str:
-    """Return the VM of a node id."""
-    return node.partition("/")[0]
--- a/src/lovageway/controllers/poison.py
+++ b/src/lovageway/controllers/poison.py
@@ -17,6 +17,7 @@
 from lovageway.controllers.membership import Membership
 from lovageway.events import AttemptFailed, Count, Emit, ReadLoad, SendPeer, StateChanged
 from lovageway.messages import Message, PoisonMark, ServerProbe, ServerSeen
+from lovageway.model import address_of
 
 MARK_S = 600.0
 SUSPECT_S = 8.0  # a peer's suspicion lapses unless the peer confirms it
@@ -207,9 +208,9 @@
                     self._mark(name, run, True, now, emit)
 
     def _probe(self, server_id: str, emit: Emit) -> None:
-        for vm in self._membership.vms:
-            if vm.vm_id == server_id:
-                emit(ReadLoad(server_id, vm.address))
+        address = address_of(self._membership.vms, server_id)
+        if address is not None:
+            emit(ReadLoad(server_id, address))
 
     # ---- marks ----------------------------------------------------------------------------------
 
--- a/src/lovageway/filters/resumption.py
+++ b/src/lovageway/filters/resumption.py
@@ -7,6 +7,7 @@
 from lovageway.controllers.membership import Membership
 from lovageway.controllers.streams import Streams
 from lovageway.events import Emit, ResumeAttempt
+from lovageway.model import address_of
 
 
 class Resumption(Filter):
@@ -24,7 +25,7 @@
         assert ctx.service is not None
         if token.account != ctx.contract.account:
             return stop(Refusal(Code.BAD_RESUME_TOKEN))
-        address = self._membership.server_address(token.server_id)
+        address = address_of(self._membership.vms, token.server_id)
         if address is None:
             return stop(Refusal(Code.GENERATION_LOST, f"Server {token.server_id} has left."))
         self._streams.resumed(token.generation, token.node, now, emit)
--- a/src/lovageway/model.py
+++ b/src/lovageway/model.py
@@ -1,6 +1,6 @@
 """Data that the whole system shares: configuration rows, VMs and load reports."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 INTERACTIVE = "interactive"
@@ -115,6 +115,16 @@
 EMPTY_SNAPSHOT = Snapshot(0, {}, {}, {}, {})
 
 
+def vm_of(node: str) -> str:
+    """Return the VM of a node id, "VM/START_ID"."""
+    return node.partition("/")[0]
+
+
+def address_of(vms: Iterable[Vm], vm_id: str) -> str | None:
+    """Return the address of a listed VM, None when it is not listed."""
+    return next((vm.address for vm in vms if vm.vm_id == vm_id), None)
+
+
 def generation_name(request_id: str, attempt: int) -> str:
     """Return the generation id of an attempt."""
     return f"{request_id}-{attempt}"
--- a/src/lovageway/node.py
+++ b/src/lovageway/node.py
@@ -56,7 +56,7 @@
 from lovageway.filters.readiness import Readiness
 from lovageway.filters.resumption import Resumption
 from lovageway.filters.routing import Routing
-from lovageway.model import Identity, generation_name
+from lovageway.model import Identity, address_of, generation_name
 from lovageway.policies import POLICIES, PolicyName
 
 HISTORY_REQUESTS = 1000
@@ -301,7 +301,7 @@
     @_on.register
     def _(self, event: StreamCancelled, now: float) -> None:
         token = event.token
-        address = self.membership.server_address(token.server_id)
+        address = address_of(self.membership.vms, token.server_id)
         if address is not None:
             self._emit(CancelGeneration(token.server_id, address, token.generation))
             self._emit(Count("generations_cancelled"))
--- a/src/lovageway/report.py
+++ b/src/lovageway/report.py
@@ -1,7 +1,7 @@
 """What operators may ask of a daemon, read from its node between two events."""
 
 from lovageway.messages import Member
-from lovageway.model import Vm
+from lovageway.model import Vm, vm_of
 from lovageway.node import Node
 
 HISTORY_CHANGES = 20
@@ -13,7 +13,7 @@
     refusal = configuration.may_serve(now)
     version, freshness = configuration.status(now)
     live = membership.live()
-    seen = {_vm_id(member) for member in live}
+    seen = {vm_of(member.node) for member in live}
     return {
         **membership.identity._asdict(),
         "version": version,
@@ -31,14 +31,10 @@
     }
 
 
-def _vm_id(member: Member) -> str:
-    return member.node.partition("/")[0]
-
-
 def _daemon(node: Node, member: Member, version: int) -> dict[str, object]:
     mine = member.node == node.membership.node
     return {
-        "vm_id": _vm_id(member),
+        "vm_id": vm_of(member.node),
         "zone": member.zone,
         "address": member.address,
         "state": member.state,
