Share what the tests and benches ask of a fleet

Fleet.page, Fleet.begin, Stream.resume and bench.process.cpu_s serve them now. No assertion was changed.

Tried and taken back: wait_for in place of the polling loops of tests/test_at_most_once.py, because it passes over HTTP errors that fail these tests today; Fleet.page in bench/membership.py, whose own pool retries connections that have just expired.

--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -29,9 +29,7 @@
     fleet.command = [sys.executable, "-m", "bench.variant_daemon", json.dumps(policy)]
     for number in range(size):
         fleet.daemon(f"entry-{number}", JAR_ZONES[number % 3])
-    fleet.write_configuration(jar_returns_rows())
-    fleet.publish_vms()
-    fleet.wait_ready()
+    fleet.begin(jar_returns_rows())
     for process in fleet.daemons.values():
         wait_for(
             lambda process=process: len(fleet.admin(process, "/admin/status")["daemons"]) == size,
--- a/bench/idle.py
+++ b/bench/idle.py
@@ -29,9 +29,7 @@
 def measure(seconds):
     with Fleet() as fleet:
         daemon = fleet.daemon("entry-0", "khangai")
-        fleet.write_configuration(jar_returns_rows())
-        fleet.publish_vms()
-        fleet.wait_ready()
+        fleet.begin(jar_returns_rows())
         time.sleep(SETTLE_S)
         pid = daemon.popen.pid
         before = cpu_s(pid)
--- a/bench/invariants.py
+++ b/bench/invariants.py
@@ -90,9 +90,7 @@
         post(process.address, "/control", {"delay_s": CALL_S})
     for number in range(size):
         fleet.daemon(f"entry-{number}", JAR_ZONES[number % 3])
-    fleet.write_configuration(jar_returns_rows())
-    fleet.publish_vms()
-    fleet.wait_ready()
+    fleet.begin(jar_returns_rows())
     return fleet, plain
 
 
--- a/bench/limits.py
+++ b/bench/limits.py
@@ -105,9 +105,7 @@
     """Return totals over all daemons."""
     totals = {}
     for process in fleet.daemons.values():
-        headers = {"Authorization": f"Bearer {fleet.operator_key}"}
-        url = f"http://{process.addresses['operator_listen']}/metrics"
-        for line in http.request("GET", url, headers=headers).data.decode().splitlines():
+        for line in fleet.page(process, "/metrics").splitlines():
             name, _, value = line.partition(" ")
             if 'direction="received"' in name:
                 continue
--- a/bench/membership.py
+++ b/bench/membership.py
@@ -21,6 +21,7 @@
 from standins.fleet import Fleet
 from tests.builders import JAR_ZONES, jar_returns_rows
 
+from bench.process import cpu_s
 from lovageway.adapters.peers import IDLE_TIMEOUT_S
 from lovageway.controllers.membership import Membership
 from lovageway.events import SendPeer
@@ -31,7 +32,6 @@
 SEED = 1
 TARGETS = {"bytes_s": 4096.0, "cpu_percent": 1.4, "rss_mb": 32.0}
 POOL = urllib3.PoolManager(num_pools=64, maxsize=8, retries=2, timeout=urllib3.Timeout(30.0))
-TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
 def parse():
@@ -57,13 +57,6 @@
     return {(name, way): float(n) for name, way, n in re.findall(pattern, text, re.MULTILINE)}
 
 
-def cpu_s(process):
-    """Return the CPU seconds that a process has used."""
-    with open(f"/proc/{process.popen.pid}/stat") as file:
-        fields = file.read().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
-
-
 def rss_mb(process):
     """Return resident memory and the part of it that is private to the process."""
     with open(f"/proc/{process.popen.pid}/smaps_rollup") as file:
@@ -107,13 +100,13 @@
 
 def idle_window(fleet, window_s):
     """Return the cost of each daemon over a window."""
-    before = {name: (counters(fleet, p), cpu_s(p)) for name, p in fleet.daemons.items()}
+    before = {name: (counters(fleet, p), cpu_s(p.popen.pid)) for name, p in fleet.daemons.items()}
     begun = time.monotonic()
     time.sleep(window_s)
     took = time.monotonic() - begun
     costs = []
     for name, process in fleet.daemons.items():
-        spent = cpu_s(process) - before[name][1]
+        spent = cpu_s(process.popen.pid) - before[name][1]
         now, old = counters(fleet, process), before[name][0]
         used = {key: (now[key] - old.get(key, 0.0)) / took for key in now}
         sent = used.get(("bytes", "sent"), 0.0) + used.get(("bytes", "handshake"), 0.0)
--- a/bench/polls.py
+++ b/bench/polls.py
@@ -20,9 +20,7 @@
         for number in range(servers):
             fleet.backend(f"counter-{number}", "counter-app", "khangai", "plain")
         daemon = fleet.daemon("entry-0", "khangai")
-        fleet.write_configuration(jar_returns_rows())
-        fleet.publish_vms()
-        fleet.wait_ready()
+        fleet.begin(jar_returns_rows())
         time.sleep(settle)
         before = cpu_s(daemon.popen.pid)
         time.sleep(seconds)
--- a/bench/routing.py
+++ b/bench/routing.py
@@ -6,6 +6,7 @@
 """
 
 import argparse
+import contextlib
 import json
 import os
 import subprocess
@@ -17,6 +18,7 @@
 from standins.fleet import Fleet, http
 
 from bench import gaps, plot
+from bench.process import cpu_s
 from bench.workload import DEPLOYMENTS, arrivals, start
 
 POLICIES = ("least_requests", "round_robin", "two_choices", "memory")
@@ -39,16 +41,13 @@
     return total
 
 
-def cpu_s(fleet):
+def fleet_cpu_s(fleet):
     """Return the processor seconds that the fleet's processes have used."""
-    ticks = 0
+    total = 0.0
     for process in fleet.processes:
-        try:
-            text = Path(f"/proc/{process.popen.pid}/stat").read_text()
-        except OSError:
-            continue
-        ticks += sum(map(int, text.rpartition(")")[2].split()[11:13]))
-    return ticks / os.sysconf("SC_CLK_TCK")
+        with contextlib.suppress(OSError):  # it has ended
+            total += cpu_s(process.popen.pid)
+    return total
 
 
 def start_clients(fleet, dep, plan, begin, end_s):
@@ -82,7 +81,7 @@
         begin = time.monotonic() + START_DELAY_S
         clients = start_clients(fleet, dep, plan, begin, args.warmup + args.seconds + args.drain)
         time.sleep(max(0.0, begin + args.warmup - time.monotonic()))
-        before, cpu_before, at = engine_stats(fleet), cpu_s(fleet), time.monotonic()
+        before, cpu_before, at = engine_stats(fleet), fleet_cpu_s(fleet), time.monotonic()
         results = collect(clients)
         after = engine_stats(fleet)
         dead = [name for name, item in zip(fleet.vms, fleet.processes[1:], strict=True)
@@ -93,7 +92,7 @@
             "preemptions": after["preemptions"] - before["preemptions"],
             "stall_s": after["stall_s"] - before["stall_s"],
             "engine": after["other"] - before["other"],
-            "cores": (cpu_s(fleet) - cpu_before) / (time.monotonic() - at),
+            "cores": (fleet_cpu_s(fleet) - cpu_before) / (time.monotonic() - at),
             "gaps": gaps.read_gaps(fleet, begin + args.warmup),
             "dead": dead,
         }
--- a/bench/streams.py
+++ b/bench/streams.py
@@ -151,9 +151,7 @@
         rows = jar_returns_rows()
         rows["contract/clerks"] = contract_row("clerks", concurrency=2000, tokens_per_s=1e6)
         rows["service/crock-llm"].update(full_slots=int(slots), cold_slots=int(slots))
-        fleet.write_configuration(rows)
-        fleet.publish_vms()
-        fleet.wait_ready()
+        fleet.begin(rows)
         addresses = [engine.address for engine in engines]
         loop = fleet._start([sys.executable, "-m", "bench.streams", "--relay", *addresses])
         for streams in args.streams:
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -127,6 +127,4 @@
     for number in range(daemons):
         lines = ("[routing]", f'policy = "{policy}"')
         fleet.daemon(f"entry-{number}", zones[number % 3], lines, max_open_requests=400)
-    fleet.write_configuration(configuration(dep))
-    fleet.publish_vms()
-    fleet.wait_ready()
+    fleet.begin(configuration(dep))
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -18,9 +18,7 @@
     for number, zone in enumerate(JAR_ZONES):
         fleet.backend(f"counter-{number}", "counter-app", zone, "plain")
         fleet.daemon(f"entry-{number}", zone)
-    fleet.write_configuration(jar_returns_rows())
-    fleet.publish_vms()
-    fleet.wait_ready()
+    fleet.begin(jar_returns_rows())
 
 
 def discover(address, service):
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -180,11 +180,21 @@
         body = {"op_id": f"test-{version}", "conditions": [], "puts": puts, "deletes": []}
         post(self.platform.address, "/v1/transact", body)
 
-    def admin(self, process, path):
-        """Read a page of the operators' interface."""
+    def page(self, process, path):
+        """Return the text of a page of the operators' interface."""
         headers = {"Authorization": f"Bearer {self.operator_key}"}
         url = f"http://{process.addresses['operator_listen']}{path}"
-        return json.loads(http.request("GET", url, headers=headers).data)
+        return http.request("GET", url, headers=headers).data.decode()
+
+    def admin(self, process, path):
+        """Return the JSON of a page of the operators' interface."""
+        return json.loads(self.page(process, path))
+
+    def begin(self, rows):
+        """Write the configuration, publish the VM list and wait until the fleet is ready."""
+        self.write_configuration(rows)
+        self.publish_vms()
+        self.wait_ready()
 
     def set_links(self, vm_id, mode):
         """Set the mode of both proxies of a daemon."""
--- a/standins/streams.py
+++ b/standins/streams.py
@@ -18,6 +18,11 @@
         self.done = False
         self.lines = iter(self.resp)
 
+    def resume(self, address):
+        """Return a stream that carries this one on through a daemon."""
+        headers = {"Last-Event-ID": self.last_id}
+        return Stream(address, "/v1/streams/resume", {"resume_token": self.token}, headers)
+
     def read(self, tokens=None):
         """Read until the end, or until `tokens` tokens have come."""
         for line in self.lines:
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -69,9 +69,7 @@
         cls.fleet.vms["counter-0"]["address"] = cls.proxy.address
         cls.one = cls.fleet.daemon("entry-0", "gobi")
         cls.two = cls.fleet.daemon("entry-1", "gobi")
-        cls.fleet.write_configuration(jar_returns_rows())
-        cls.fleet.publish_vms()
-        cls.fleet.wait_ready()
+        cls.fleet.begin(jar_returns_rows())
         cls.see_each_other()
 
     def tearDown(self):
@@ -316,9 +314,7 @@
         rows = jar_returns_rows()
         rows["service/counter-app"].update(cold_slots=1, full_slots=1)
         rows["contract/clerks"]["max_wait_s"] = 3.0
-        fleet.write_configuration(rows)
-        fleet.publish_vms()
-        fleet.wait_ready()
+        fleet.begin(rows)
 
         def effects(key):
             ledger = json.loads(http.request("GET", f"http://{plain.address}/ledger").data)
--- a/tests/test_binary.py
+++ b/tests/test_binary.py
@@ -29,9 +29,7 @@
             fleet.backend("crock-0", "crock-llm", "khangai", "engine")
             fleet.backend("counter-0", "counter-app", "khangai", "plain")
             daemon = fleet.daemon("entry-0", "khangai")
-            fleet.write_configuration(jar_returns_rows())
-            fleet.publish_vms()
-            fleet.wait_ready()
+            fleet.begin(jar_returns_rows())
             with contextlib.redirect_stdout(io.StringIO()):
                 self.assertEqual(len(demo.summary(daemon.address)), 40)
             pid = daemon.popen.pid
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -20,9 +20,7 @@
         cls.fleet.backend("crock-0", "crock-llm", "khangai", "engine")
         cls.fleet.backend("counter-0", "counter-app", "khangai", "plain")
         cls.daemon = cls.fleet.daemon("entry-0", "khangai")
-        cls.fleet.write_configuration(jar_returns_rows())
-        cls.fleet.publish_vms()
-        cls.fleet.wait_ready()
+        cls.fleet.begin(jar_returns_rows())
         cls.url = f"http://{cls.daemon.address}"
 
     def post(self, path, headers=KEY, **options):
@@ -97,17 +95,13 @@
     def test_refusals_are_counted_by_code(self):
         # Guards against refusals that no figure shows.
         self.post("/v1/nothing", json={})
-        headers = {"Authorization": f"Bearer {self.fleet.operator_key}"}
-        url = f"http://{self.daemon.addresses['operator_listen']}/metrics"
-        text = http.request("GET", url, headers=headers).data.decode()
+        text = self.fleet.page(self.daemon, "/metrics")
         self.assertRegex(text, r'lovageway_refusals_total\{code="4005"\} [1-9]')
 
     def test_unknown_services_share_one_label(self):
         # Guards against memory that callers can fill with labels of metrics.
         self.post("/v1/completions", json={**GOOD, "model": "no-such-model"})
-        headers = {"Authorization": f"Bearer {self.fleet.operator_key}"}
-        url = f"http://{self.daemon.addresses['operator_listen']}/metrics"
-        text = http.request("GET", url, headers=headers).data.decode()
+        text = self.fleet.page(self.daemon, "/metrics")
         self.assertNotIn("no-such-model", text)
         self.assertIn('lovageway_requests_total{service="unknown"}', text)
 
--- a/tests/test_configuration_fleet.py
+++ b/tests/test_configuration_fleet.py
@@ -19,9 +19,7 @@
     add_cleanup(fleet.__exit__)
     for number in range(size):
         fleet.daemon(f"entry-{number}", JAR_ZONES[number % 3], proxied=True)
-    fleet.write_configuration(jar_returns_rows())
-    fleet.publish_vms()
-    fleet.wait_ready()
+    fleet.begin(jar_returns_rows())
     wait_for(lambda: all(majority(fleet)), "majority contact of every daemon")
     return fleet
 
@@ -72,11 +70,9 @@
         for number in range(5):
             done = self.accept(f"push-{number}-operation", zone_row("gobi", enabled=number % 2 > 0))
             self.in_force(done["version"])
-        headers = {"Authorization": f"Bearer {self.fleet.operator_key}"}
         pushed = 0
         for process in self.daemons[1:]:
-            url = f"http://{process.addresses['operator_listen']}/metrics"
-            text = http.request("GET", url, headers=headers).data.decode()
+            text = self.fleet.page(process, "/metrics")
             pushed += 'config_learned_total{source="push"}' in text
         self.assertGreaterEqual(pushed, 3)
 
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -83,9 +83,7 @@
             self.fleet.backend(f"crock-{number}", "crock-llm", "khangai", "engine", *options)
         for number, zone in enumerate(JAR_ZONES):
             self.fleet.daemon(f"entry-{number}", zone)
-        self.fleet.write_configuration(jar_returns_rows())
-        self.fleet.publish_vms()
-        self.fleet.wait_ready()
+        self.fleet.begin(jar_returns_rows())
         self.leaver, self.other = (self.fleet.daemons[f"entry-{n}"] for n in (0, 1))
 
     def discover(self, process):
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -31,9 +31,7 @@
             self.fleet.daemon(f"entry-{number}", ZONE)
         rows = jar_returns_rows()
         rows["contract/clerks"] = contract_row("clerks", **contract)
-        self.fleet.write_configuration(rows)
-        self.fleet.publish_vms()
-        self.fleet.wait_ready()
+        self.fleet.begin(rows)
         for daemon in self.fleet.daemons.values():
             # A daemon that has just started refuses until it holds its first shares.
             wait_for(lambda d=daemon: "choices" in post_completion(d.address, "len=1"), "service")
@@ -76,11 +74,7 @@
         first, second = self.start(daemons=2)
         stream = self.ask(first, 300).read(50)
         self.fleet.daemons["entry-0"].kill()
-        body = {"resume_token": stream.token}
-        again = Stream(
-            second, "/v1/streams/resume", body, {"Last-Event-ID": stream.last_id}.items()
-        )
-        again.read()
+        again = stream.resume(second).read()
         self.assertIsNone(again.error)
         self.assertEqual(stream.offsets() + again.offsets(), list(range(300)))
         self.assertEqual(again.generations(), stream.generations())
@@ -90,11 +84,7 @@
         first, second = self.start(daemons=2)
         stream = self.ask(first, 900).read(50)
         stream.resp.close()
-        body = {"resume_token": stream.token}
-        again = Stream(
-            second, "/v1/streams/resume", body, {"Last-Event-ID": stream.last_id}.items()
-        )
-        again.read()
+        again = stream.resume(second).read()
         self.assertIsNone(again.error)
         self.assertEqual(stream.offsets() + again.offsets(), list(range(900)))
 
@@ -148,11 +138,7 @@
         first, second = self.start(daemons=2)
         stream = self.ask(first, 100000).read(20)
         stream.resp.close()
-        body = {"resume_token": stream.token}
-        again = Stream(
-            second, "/v1/streams/resume", body, {"Last-Event-ID": stream.last_id}.items()
-        )
-        again.read(40)
+        again = stream.resume(second).read(40)
         again.resp.close()
         wait_for(lambda: self.running("crock-0")["running"] == 0, "cancellation")
 
--- a/tests/test_limits_processes.py
+++ b/tests/test_limits_processes.py
@@ -86,9 +86,7 @@
     rows["service/crock-llm"].update(service)
     for row in contracts:
         rows[f"contract/{row['account']}"] = row
-    fleet.write_configuration(rows)
-    fleet.publish_vms()
-    fleet.wait_ready()
+    fleet.begin(rows)
     return (engine, proxy) if proxy else engine
 
 
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -30,9 +30,7 @@
         cls.daemon = cls.daemons[0]
         rows = jar_returns_rows()
         rows["contract/clerks"] = contract_row("clerks")
-        cls.fleet.write_configuration(rows)
-        cls.fleet.publish_vms()
-        cls.fleet.wait_ready()
+        cls.fleet.begin(rows)
         for daemon in cls.daemons:
             wait_for(lambda d=daemon: cls.complete(d).status == 200, "service")
 
@@ -112,9 +110,7 @@
     def test_times_between_tokens_are_exported_by_service_and_class(self):
         # Guards against stalls that no figure shows.
         self.ask(20).read()
-        headers = {"Authorization": f"Bearer {self.fleet.operator_key}"}
-        url = f"http://{self.daemon.addresses['operator_listen']}/metrics"
-        text = http.request("GET", url, headers=headers).data.decode()
+        text = self.fleet.page(self.daemon, "/metrics")
         labels = r'\{request_class="\w+",service="crock-llm"\}'
         for name in ("token_gap_seconds_count", "first_token_seconds_count"):
             self.assertRegex(text, f"lovageway_{name}{labels} [1-9]")
--- a/tests/test_operators_guide.py
+++ b/tests/test_operators_guide.py
@@ -59,9 +59,7 @@
             self.fleet.daemon(f"entry-{number}", zone)
         self.fleet.backend("crock-0", "crock-llm", "gobi", "engine")
         self.fleet.backend("counter-0", "counter-app", "khangai", "plain")
-        self.fleet.write_configuration(jar_returns_rows())
-        self.fleet.publish_vms()
-        self.fleet.wait_ready()
+        self.fleet.begin(jar_returns_rows())
         self.wait_live(3)
         for name, text in FILES.items():
             (self.fleet.dir / name).write_text(text)
--- a/tests/test_partition_processes.py
+++ b/tests/test_partition_processes.py
@@ -81,9 +81,7 @@
         for name in ACCOUNTS:
             row = contract_row(name, concurrency=LIMIT, requests_per_s=1000.0)
             rows[f"contract/{name}"] = {**row, "tokens_per_s": 1e6}
-        fleet.write_configuration(rows)
-        fleet.publish_vms()
-        fleet.wait_ready()
+        fleet.begin(rows)
         wait_for(self.whole, "all daemons live everywhere")
         account, self.owner = self.choose()
         self.others = [vm_id for vm_id in fleet.daemons if vm_id != self.owner]
--- a/tests/test_poison_fleet.py
+++ b/tests/test_poison_fleet.py
@@ -43,9 +43,7 @@
 
 
 def counter(fleet, daemon, name):
-    headers = {"Authorization": f"Bearer {fleet.operator_key}"}
-    url = f"http://{daemon.addresses['operator_listen']}/metrics"
-    text = http.request("GET", url, headers=headers).data.decode()
+    text = fleet.page(daemon, "/metrics")
     found = re.search(rf'^lovageway_{name}_total{{service="crock-llm"}} (\S+)', text, re.MULTILINE)
     return float(found[1]) if found else 0.0
 
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -28,9 +28,7 @@
             self.engines.setdefault(zone, []).append(engine)
         for number, zone in enumerate(JAR_ZONES):
             self.fleet.daemon(f"entry-{number}", zone)
-        self.fleet.write_configuration(jar_returns_rows())
-        self.fleet.publish_vms()
-        self.fleet.wait_ready()
+        self.fleet.begin(jar_returns_rows())
         self.daemons = list(self.fleet.daemons.values())
         self.stopped = threading.Event()
         self.numbers = itertools.count()
