Place long generations where an engine can leave, and keep copies ahead off the links of moves

Ruled out: memory at the destination (reports read four times a second showed 20,000 of 34,386 tokens used at an engine that refused for 1.5 s); sharing of a link by copies in and out (a copy into an engine ran at full speed beside one out of it).

Change: placement prefers regions whose engines without any one of them hold all generations of the region; copies ahead leave a region only where the engine is alone, one at a time on each link. Load messages tell copies and transfers apart.

--- a/src/lovageway/forwarding/carrying.py
+++ b/src/lovageway/forwarding/carrying.py
@@ -21,8 +21,8 @@
 OTHER_REGION_FACTOR = 9.5  # and between regions
 COPY_SECOND_COST = 4.0  # in requests for each second that a copy takes
 BACKUP_LEAST_S = 3.0  # generations expected to be shorter get no copy ahead
-BACKUP_ROOM = 0.70  # of an engine's memory that work and copies ahead may fill together
-BACKUP_SECOND_COST = 0.3  # of an engine's memory, for each second that the first copy takes
+BACKUP_ROOM = 0.85  # of an engine's memory that work and copies ahead may fill together
+BACKUP_PARTNER_COST = 0.3  # of an engine's memory, where a transfer delays moves in its region
 SETTLE_S = 0.5  # after its first copy, a copy ahead is nearly up to date
 ENDS_WEIGHT = 0.4  # of the worth of a generation that may end before its engine is gone
 FAILURE_COST = 4.0  # in requests for each recent failure
@@ -132,19 +132,27 @@
     """Return the engine that keeps a growing copy of a generation, or None.
 
     Only long generations get one, and only while memory is plentiful: a copy takes the room of
-    another generation.
+    another generation. The copy stays in the region while another engine is there: a transfer
+    between regions takes two seconds of the link on which moves of leaving engines wait. Where the
+    engine is alone, such transfers run one at a time.
     """
     engine = service.engine
     if engine is None or not engine.backups or remaining_s(run) < BACKUP_LEAST_S:
         return None
     room = BACKUP_ROOM * engine.memory_tokens - tokens_to_hold(run)
+    others = [entry for entry in entries if entry.id != first.id]
+    near = [entry for entry in others if entry.replica.region == first.replica.region]
+    if not near and book.at(first.id, now).transfers:
+        return None
+    regions = [entry.replica.region for entry in others]
     best, best_cost = None, float("inf")
-    for entry in entries:
+    for entry in near or others:
         load = book.at(entry.id, now)
-        if entry.id == first.id or load.tokens > room:
+        if load.tokens > room or (not near and load.transfers):
             continue
         cost = load.tokens / engine.memory_tokens + entry.failures(now)
-        cost += BACKUP_SECOND_COST * copy_s(engine, run, first, entry)
+        if not near and regions.count(entry.replica.region) > 1:
+            cost += BACKUP_PARTNER_COST
         if cost < best_cost:
             best, best_cost = entry, cost
     return best
--- a/src/lovageway/forwarding/gossip.py
+++ b/src/lovageway/forwarding/gossip.py
@@ -116,7 +116,7 @@
     return News(
         facts=_facts(facts),
         versions={str(table): int(version) for table, version in versions.items()},
-        loads={str(key): Load(int(r), int(t), int(u)) for key, (r, t, u) in loads.items()},
+        loads={str(key): Load(*(int(part) for part in load)) for key, load in loads.items()},
         poison=[(bytes(mark), int(count)) for mark, count in poison],
         relayed=[_facts(item) for item in relayed],
         store_lost=bool(store_lost),
--- a/src/lovageway/forwarding/load.py
+++ b/src/lovageway/forwarding/load.py
@@ -12,16 +12,16 @@
     requests: int
     tokens: int
     unread: int = 0  # prompt tokens of requests that have not begun to answer
+    copies: int = 0  # part of the tokens: copies of generations that run elsewhere
+    transfers: int = 0  # copies between regions that its link carries now
 
     def __add__(self, other: object) -> "Load":
         if not isinstance(other, Load):
             return NotImplemented
-        return Load(
-            self.requests + other.requests, self.tokens + other.tokens, self.unread + other.unread
-        )
+        return Load(*(mine + theirs for mine, theirs in zip(self, other, strict=True)))
 
 
-ZERO = Load(0, 0, 0)
+ZERO = Load(0, 0)
 
 
 class LoadBook:
@@ -41,8 +41,13 @@
         self._change(server, Load(0, 0, prompt))
 
     def hold(self, server: str, tokens: int) -> None:
-        """Count memory without a request; a negative amount gives it back."""
-        self._change(server, Load(0, tokens))
+        """Count the memory of a copy; a negative amount gives it back."""
+        self._change(server, Load(0, tokens, copies=tokens))
+
+    def transfer(self, servers: tuple[str, str], change: int) -> None:
+        """Count a copy between regions that begins (1) or ends (-1) at both of its servers."""
+        for server in servers:
+            self._change(server, Load(0, 0, transfers=change))
 
     def remove(self, server: str, tokens: int) -> None:
         """Count a request that ended at a server."""
--- a/src/lovageway/forwarding/placement.py
+++ b/src/lovageway/forwarding/placement.py
@@ -4,6 +4,11 @@
 request is placed only where the memory that it will come to hold is free, counting what every
 daemon has sent there; least requests alone fills one engine's memory and preempts its generations.
 
+An engine may announce at any moment that it leaves within two seconds. Its generations can be
+carried in that time to engines of its own region only, so a region should hold no more than its
+engines without any one of them have memory for. Generations beyond that, and those on the only
+engine of a region, are lost with it; they go where they are not, if there is such a place.
+
 A prompt that waits to be read delays the first token of the next by its length, much more than a
 running generation does; so a burst is spread over the engines, also over one that has just come.
 
@@ -28,6 +33,9 @@
 DEFAULT_LATENCY_S = 0.08
 ENGINE_OTHER_REGION = 0.5  # in requests
 ENGINE_FAILURE = 4.0  # in requests
+STRANDED_COST = 6.0  # in requests, for a long generation that could not be carried off its engine
+LONG_S = 4.0  # generations expected to last so long or longer count as long
+TOKEN_S = 0.010  # expected time for a token
 UNREAD_COST = 1 / 700  # in requests, for each prompt token that an engine has yet to read
 FULL_SLOTS = 1.0  # requests for each slot above which a plain server gets no more
 
@@ -40,6 +48,7 @@
     zone: str
     region: str
     avoid: frozenset[str]  # servers that were tried
+    resumable: bool = False  # a generation may begin anew elsewhere if its engine leaves
 
 
 def expected_output(generation: Generation) -> int:
@@ -62,11 +71,15 @@
     """Return the server for a request, or None if none has room."""
     open_entries = [entry for entry in entries if entry.id not in work.avoid] or entries
     cost = _engine_cost if work.service.engine is not None else _plain_cost
+    exposure = _exposure(work)
+    safe = _safe_regions(work, entries, book, now) if exposure > 0 else set()
     best, best_cost = None, float("inf")
     for entry in open_entries:
         value = cost(work, entry, book, now)
         if value is None:
             continue
+        if entry.replica.region not in safe:
+            value += STRANDED_COST * exposure
         value += rng.random() * 1e-3
         if value < best_cost:
             best, best_cost = entry, value
@@ -83,6 +96,26 @@
     return fits and load.requests < engine.slots
 
 
+def _exposure(work: Work) -> float:
+    """Return how much is lost with an engine that leaves, from 0 to 1 for a long generation."""
+    if work.generation is None or work.service.engine is None or work.resumable:
+        return 0.0
+    return min(1.0, expected_output(work.generation) * TOKEN_S / LONG_S)
+
+
+def _safe_regions(work: Work, entries: list[Entry], book: LoadBook, now: float) -> set[str]:
+    """Return the regions that could carry their generations and this one without any one engine."""
+    assert work.service.engine is not None
+    room = MEMORY_USED * work.service.engine.memory_tokens
+    engines: dict[str, int] = {}
+    tokens: dict[str, int] = {}
+    for entry in entries:
+        load, region = book.at(entry.id, now), entry.replica.region
+        engines[region] = engines.get(region, 0) + 1
+        tokens[region] = tokens.get(region, need(work.generation)) + load.tokens - load.copies
+    return {region for region, count in engines.items() if tokens[region] <= room * (count - 1)}
+
+
 def _engine_cost(work: Work, entry: Entry, book: LoadBook, now: float) -> float | None:
     assert work.service.engine is not None
     tokens = need(work.generation)
--- a/src/lovageway/forwarding/request.py
+++ b/src/lovageway/forwarding/request.py
@@ -96,7 +96,14 @@
     def work(self) -> Work:
         """Return what placement needs."""
         cfg = self.state.cfg
-        return Work(self.service, self.head.generation, cfg.zone, cfg.region, frozenset(self.tried))
+        return Work(
+            self.service,
+            self.head.generation,
+            cfg.zone,
+            cfg.region,
+            frozenset(self.tried),
+            self.route.resumable,
+        )
 
 
 def _both(first: frozenset[str], second: frozenset[str]) -> frozenset[str]:
--- a/src/lovageway/forwarding/streams.py
+++ b/src/lovageway/forwarding/streams.py
@@ -19,7 +19,7 @@
 )
 from lovageway.forwarding.connections import ClientConnection, Inbound
 from lovageway.forwarding.events import EventSplitter
-from lovageway.forwarding.model import AnswerHead
+from lovageway.forwarding.model import AnswerHead, Engine
 from lovageway.forwarding.moves import Handover, Mover
 from lovageway.forwarding.outbound import Exchange
 from lovageway.forwarding.placement import expected_output
@@ -174,6 +174,16 @@
         )
         if self.backup is not None:
             state.book.hold(self.backup.id, request.tokens)
+            self._count_transfer(request.service.engine, entry, self.backup)
+
+    def _count_transfer(self, engine: Engine, source: Entry, to: Entry) -> None:
+        """Count a copy between regions for as long as it should take."""
+        if source.replica.region == to.replica.region:
+            return
+        book, servers = self.state.book, (source.id, to.id)
+        book.transfer(servers, 1)
+        seconds = carrying.copy_s(engine, self.progress(), source, to)
+        asyncio.get_running_loop().call_later(seconds, book.transfer, servers, -1)
 
     def _log_placed(self, entry: Entry) -> None:
         state, now = self.state, self.state.clock()
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -76,6 +76,46 @@
         self.book.wait_for("i-2", -6000)
         self.assertEqual(self.choose(found).id, "i-2")
 
+    def test_long_generations_go_where_an_engine_can_leave(self):
+        # Load: an engine leaves every few seconds; only its own region is near enough to take its
+        # generations over in time, and region z2 has one engine alone.
+        found = entries("i-1", "i-2") + entries("i-3", zone="z2")
+        placed = {"i-1": 0, "i-2": 0, "i-3": 0}
+        for _ in range(9):
+            entry = self.choose(found)
+            self.book.add(entry.id, placement.need(generation()))
+            placed[entry.id] += 1
+        self.assertEqual(placed["i-3"], 0)
+        self.assertLessEqual(abs(placed["i-1"] - placed["i-2"]), 1)
+
+    def test_beyond_what_a_region_can_carry_the_load_is_balanced(self):
+        # Load: more long generations than the regions can carry off an engine; guards against
+        # filling one region although each further generation is stranded anywhere.
+        found = entries("i-1", "i-2") + entries("i-3", zone="z2")
+        for _ in range(12):
+            entry = self.choose(found)
+            self.book.add(entry.id, placement.need(generation()))
+        self.assertGreater(self.book.at("i-3", 0.0).requests, 0)
+
+    def test_copies_do_not_count_as_generations_to_carry(self):
+        # Guards against a region that looks full because each generation has a copy there, which
+        # takes no further memory when it goes on from the copy.
+        found = entries("i-1", "i-2") + entries("i-3", zone="z2")
+        need = placement.need(generation())
+        for name, other in (("i-1", "i-2"), ("i-2", "i-1")):
+            for _ in range(3):
+                self.book.add(name, need)
+                self.book.hold(other, need)
+        self.assertNotEqual(self.choose(found).id, "i-3")
+
+    def test_short_and_resumable_generations_keep_to_the_least_load(self):
+        # Guards against counter calls that queue behind long prompts although an engine is idle.
+        found = entries("i-1", "i-2") + entries("i-3", zone="z2")
+        for name in ("i-1", "i-2"):
+            self.book.add(name, 4000)
+        self.assertEqual(self.choose(found, resumable=True).id, "i-3")
+        self.assertEqual(self.choose(found, generation=generation(limit=20, hint=16)).id, "i-3")
+
     def test_a_generation_that_fits_nowhere_still_runs_on_an_empty_engine(self):
         # Guards against one huge request that waits for ever.
         huge = generation(prompt=40000)
