Keep copies ahead within a region, tell of prompts at once, and log pauses of streams

Cause of late and lost streams that remained: copies between regions, also one at a time. Two streams stood still for 1.24 s in the last call of a move because a copy between regions was on the link; an engine refused moves for 1.5 s while two such copies waited. First events after 1.5 s and more came from several daemons that sent prompts to the same idle engine within one tick.

--- a/src/lovageway/forwarding/carrying.py
+++ b/src/lovageway/forwarding/carrying.py
@@ -22,7 +22,6 @@
 COPY_SECOND_COST = 4.0  # in requests for each second that a copy takes
 BACKUP_LEAST_S = 3.0  # generations expected to be shorter get no copy ahead
 BACKUP_ROOM = 0.85  # of an engine's memory that work and copies ahead may fill together
-BACKUP_PARTNER_COST = 0.3  # of an engine's memory, where a transfer delays moves in its region
 SETTLE_S = 0.5  # after its first copy, a copy ahead is nearly up to date
 ENDS_WEIGHT = 0.4  # of the worth of a generation that may end before its engine is gone
 FAILURE_COST = 4.0  # in requests for each recent failure
@@ -132,28 +131,20 @@
     """Return the engine that keeps a growing copy of a generation, or None.
 
     Only long generations get one, and only while memory is plentiful: a copy takes the room of
-    another generation. The copy stays in the region while another engine is there: a transfer
-    between regions takes two seconds of the link on which moves of leaving engines wait. Where the
-    engine is alone, such transfers run one at a time.
+    another generation. The copy stays in the region: a copy to another region takes two seconds of
+    the links on which moves of leaving engines wait.
     """
     engine = service.engine
     if engine is None or not engine.backups or remaining_s(run) < BACKUP_LEAST_S:
         return None
     room = BACKUP_ROOM * engine.memory_tokens - tokens_to_hold(run)
-    others = [entry for entry in entries if entry.id != first.id]
-    near = [entry for entry in others if entry.replica.region == first.replica.region]
-    if not near and book.at(first.id, now).transfers:
-        return None
-    regions = [entry.replica.region for entry in others]
     best, best_cost = None, float("inf")
-    for entry in near or others:
-        load = book.at(entry.id, now)
-        if load.tokens > room or (not near and load.transfers):
+    for entry in entries:
+        if entry.id == first.id or entry.replica.region != first.replica.region:
             continue
+        load = book.at(entry.id, now)
         cost = load.tokens / engine.memory_tokens + entry.failures(now)
-        if not near and regions.count(entry.replica.region) > 1:
-            cost += BACKUP_PARTNER_COST
-        if cost < best_cost:
+        if load.tokens <= room and cost < best_cost:
             best, best_cost = entry, cost
     return best
 
@@ -175,6 +166,7 @@
 
     GATHER_S = 0.05  # for the lists of all daemons to arrive; regions are 8 ms apart
     PATIENCE = 1.3  # times the expected duration of an unheard move
+    CALLS_S = 0.15  # for the two calls and the message of an unheard move, on busy machines
     KEEP_S = 10.0
 
     def __init__(self) -> None:
@@ -213,7 +205,7 @@
         for other in ordered:
             if other.id == run:
                 break
-            ahead += self.PATIENCE * other.copy_ms / 1000
+            ahead += self.PATIENCE * other.copy_ms / 1000 + self.CALLS_S
             pending = pending or other.id not in notice.done
         return not pending or waited >= ahead
 
--- a/src/lovageway/forwarding/load.py
+++ b/src/lovageway/forwarding/load.py
@@ -13,7 +13,6 @@
     tokens: int
     unread: int = 0  # prompt tokens of requests that have not begun to answer
     copies: int = 0  # part of the tokens: copies of generations that run elsewhere
-    transfers: int = 0  # copies between regions that its link carries now
 
     def __add__(self, other: object) -> "Load":
         if not isinstance(other, Load):
@@ -44,11 +43,6 @@
         """Count the memory of a copy; a negative amount gives it back."""
         self._change(server, Load(0, tokens, copies=tokens))
 
-    def transfer(self, servers: tuple[str, str], change: int) -> None:
-        """Count a copy between regions that begins (1) or ends (-1) at both of its servers."""
-        for server in servers:
-            self._change(server, Load(0, 0, transfers=change))
-
     def remove(self, server: str, tokens: int) -> None:
         """Count a request that ended at a server."""
         self._change(server, Load(-1, -tokens))
--- a/src/lovageway/forwarding/moves.py
+++ b/src/lovageway/forwarding/moves.py
@@ -28,7 +28,9 @@
 class MovableRun(Protocol):
     """A running generation."""
 
-    started: bool
+    @property
+    def started(self) -> bool:
+        """Return whether it has made an event."""
 
     def progress(self) -> carrying.RunState:
         """Return what is known of the generation."""
@@ -42,6 +44,7 @@
         self._run = run
         self._state = request.state
         self.stopping = False  # the source was asked to stop the generation
+        self._stop_s = 0.0  # from that question to its answer
 
     def destination(
         self, source: Entry, run: carrying.RunState, refused: frozenset[str] = frozenset()
@@ -114,7 +117,8 @@
                 stopped_at = state.clock()
                 self.stopping = True
                 result = await self._copy(source, to, last=True)
-                state.telemetry.observe("move_seconds", state.clock() - stopped_at)
+                self._stop_s = state.clock() - stopped_at
+                state.telemetry.observe("move_seconds", self._stop_s)
         finally:
             if result.status == 0:
                 engine = self._request.service.engine
@@ -135,6 +139,7 @@
             status=result.status,
             events=result.events_made,
             ms=round((self._state.clock() - began) * 1000),
+            stop_ms=round(self._stop_s * 1000),
         )
 
     async def free(self, handover: Handover) -> None:
--- a/src/lovageway/forwarding/peers.py
+++ b/src/lovageway/forwarding/peers.py
@@ -13,6 +13,7 @@
 
 PEER_AHEAD_S = 0.4  # how long the store may take to tell what a peer knows already
 LAPSE_WINDOW_S = 2.0  # after the store's return, removed entries count as lapsed
+LOAD_NEWS_S = 0.005  # in which changes of load are collected before the others are told
 MEMBERS_TABLE = "daemons"
 MEMBERS_READ_S = 15.0
 MEMBERS_RETRY_S = 3.0
@@ -48,6 +49,8 @@
         self._servers: list[asyncio.Server] = []
         self._announcing: asyncio.Task[None] | None = None
         state.move_done = self.move_done
+        state.load_changed = self.load_changed
+        self._news_due: asyncio.TimerHandle | None = None
 
     async def start(self) -> None:
         """Open the sockets between daemons and begin to watch the store."""
@@ -63,6 +66,8 @@
         """Close the sockets and stop watching."""
         for feed in self._feeds.values():
             feed.stop()
+        if self._news_due is not None:
+            self._news_due.cancel()
         self._gossip.close()
         for task in [*self._pulls, *([self._announcing] if self._announcing else [])]:
             task.cancel()
@@ -135,6 +140,16 @@
 
     # News.
 
+    def load_changed(self) -> None:
+        """Tell the others soon of a prompt that an engine has to read.
+
+        Between two ticks, all daemons would send their prompts to the same idle engine. In a large
+        fleet a tick's news have to do.
+        """
+        if self._news_due is None and not self._state.members.is_large(self._state.clock()):
+            loop = asyncio.get_running_loop()
+            self._news_due = loop.call_later(LOAD_NEWS_S, self.send_news)
+
     async def announce(self) -> None:
         """Write this daemon's row once and read the others' now and then."""
         written, failing = False, False
@@ -157,6 +172,9 @@
 
     def send_news(self) -> None:
         """Send what this daemon says of itself to the daemons whose turn it is."""
+        if self._news_due is not None:
+            self._news_due.cancel()
+            self._news_due = None
         state, now = self._state, self._state.clock()
         facts = state.members.beat(state.lifecycle.state)
         news = gossip.News(
--- a/src/lovageway/forwarding/request.py
+++ b/src/lovageway/forwarding/request.py
@@ -10,6 +10,7 @@
 from lovageway.forwarding import placement
 from lovageway.forwarding.connections import Inbound
 from lovageway.forwarding.model import Account, Repeat, RequestHead, Route, Service
+from lovageway.forwarding.pace import Pace
 from lovageway.forwarding.placement import Work
 from lovageway.forwarding.poison import fingerprint
 from lovageway.forwarding.replicas import Entry
@@ -62,6 +63,7 @@
         self.waited_s = 0.0
         self.servers: list[str] = []
         self.ends: list[str] = []  # how each attempt ended
+        self.pace: Pace | None = None  # of a stream's events
         self.regions = _both(route.regions, account.regions if account else frozenset())
         self.tokens = placement.need(head.generation) if service.engine is not None else 0
 
--- a/src/lovageway/forwarding/state.py
+++ b/src/lovageway/forwarding/state.py
@@ -52,6 +52,7 @@
         self.poison = Poison()
         self.turns = Turns()
         self.move_done: Callable[[str, str], None] = self.turns.on_done
+        self.load_changed: Callable[[], None] = lambda: None  # a prompt was sent to an engine
         self.waiting: WaitingRoom[Entry] = WaitingRoom()
         self.pool = Pool(heads.answer, clock)
         self.routes: RouteTable | None = None
--- a/src/lovageway/forwarding/streams.py
+++ b/src/lovageway/forwarding/streams.py
@@ -19,16 +19,16 @@
 )
 from lovageway.forwarding.connections import ClientConnection, Inbound
 from lovageway.forwarding.events import EventSplitter
-from lovageway.forwarding.model import AnswerHead, Engine
+from lovageway.forwarding.model import AnswerHead
 from lovageway.forwarding.moves import Handover, Mover
 from lovageway.forwarding.outbound import Exchange
+from lovageway.forwarding.pace import Pace
 from lovageway.forwarding.placement import expected_output
 from lovageway.forwarding.replicas import Entry
 from lovageway.forwarding.request import MARGIN_S, Refusal, Request, place
 
 STALL_S = 4.0  # a stream that is silent for so long is resumed elsewhere if it can be
 HANDOVER_WAIT_S = 3.0  # for the outcome of a move after the stream has ended
-PACE_GAIN = 0.1
 
 
 class Client(Protocol):
@@ -58,17 +58,19 @@
         self.state = request.state
         self.conn = client.conn
         self.entry: Entry | None = None
-        self.started = False
+        self.pace = request.pace = Pace()
         self.last_id: int | None = None
-        self.events = 0
         self.sent_at = 0.0
         self._unread = 0
-        self.last_at = 0.0
-        self.step_s = 0.0
         self.move: Mover | None = None
         self.mover: asyncio.Task[Handover | None] | None = None
         self.backup: Entry | None = None
 
+    @property
+    def started(self) -> bool:
+        """Return whether the client has an event."""
+        return self.pace.started
+
     async def serve(self) -> None:
         """Serve until the stream has ended for the client."""
         self.state.streams.add(self)
@@ -138,6 +140,7 @@
         self._log_placed(entry)
         self._unread = self._prompt() if handover is None else 0
         state.book.wait_for(entry.id, self._unread)
+        state.load_changed()
         to = self.backup.replica.address if self.backup is not None else None
         sending = Sending(last_event, copy, to)
         try:
@@ -174,16 +177,6 @@
         )
         if self.backup is not None:
             state.book.hold(self.backup.id, request.tokens)
-            self._count_transfer(request.service.engine, entry, self.backup)
-
-    def _count_transfer(self, engine: Engine, source: Entry, to: Entry) -> None:
-        """Count a copy between regions for as long as it should take."""
-        if source.replica.region == to.replica.region:
-            return
-        book, servers = self.state.book, (source.id, to.id)
-        book.transfer(servers, 1)
-        seconds = carrying.copy_s(engine, self.progress(), source, to)
-        asyncio.get_running_loop().call_later(seconds, book.transfer, servers, -1)
 
     def _log_placed(self, entry: Entry) -> None:
         state, now = self.state, self.state.clock()
@@ -259,16 +252,11 @@
         if event_id is not None and self.last_id is not None and event_id <= self.last_id:
             return
         if not self.started:
-            self.started = True
             seconds = now - self.client.inbound.arrived_at
             self.state.telemetry.observe("answer_seconds", seconds, "stream")
             self.client.status = head.status
             self.conn.start(head.status, list(head.headers), head.reason)
-        elif self.last_at:
-            gap = now - self.last_at
-            self.step_s += PACE_GAIN * (gap - self.step_s) if self.step_s else gap
-        self.last_at = now
-        self.events += 1
+        self.pace.on_event(now)
         if event_id is not None:
             self.last_id = event_id
         self.conn.send(data)
@@ -345,7 +333,7 @@
             "server_leaves_run",
             id=self.request.head.attempt_id,
             server=entry.id,
-            events=self.events,
+            events=self.pace.events,
             left_s=round(carrying.remaining_s(run), 2),
             stays=stays,
             copied=copied,
@@ -365,8 +353,8 @@
         stride = max(1, engine.stride)
         return carrying.RunState(
             prompt=generation.prompt,
-            made=self.events * stride,
+            made=self.pace.events * stride,
             expected=expected_output(generation),
             limit=generation.output_limit,
-            step_s=self.step_s / stride,
+            step_s=self.pace.step_s / stride,
         )
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import json
+from unittest import mock
 
-from standins.replica import Replica
+from standins.replica import Engine, Replica
 
 from lovageway.forwarding import gossip
 from lovageway.forwarding.model import Address, Row
-from tests.relayworld import Client, RelayCase, config
+from tests.relayworld import Client, RelayCase, config, route
+
+STREAM = route(route_kind="streaming", service="llm", timeout_ms=20000, sticky_sessions=True)
 
 
 class Answers(RelayCase):
@@ -172,3 +175,26 @@
         self.store.mode = "ok"
         await self.until(lambda: relay.state.replicas.get(server.name).leaving)
         self.assertTrue(relay.log.of("store_history_lost"))
+
+
+class LoadNews(RelayCase):
+    daemons = 2
+
+    async def test_a_prompt_that_one_daemon_sends_is_known_to_the_others_before_the_next_tick(self):
+        # Load: prompts arrive at several daemons within one tick; each would send its own to the
+        # engine that looked idle, where they would wait for one another.
+        engine = Engine("i-1", events=3)
+        engine.behaviour = "hold"
+        await self.serve(engine, routes=[STREAM])
+        sender, other = self.relays
+        await self.until(
+            lambda: all(len(r.state.members.alive(r.state.clock())) == 1 for r in self.relays)
+        )
+        with mock.patch("lovageway.forwarding.relay.TICK_S", 600.0):
+            ticks = sender._ticks
+            await self.until(lambda: sender._ticks > ticks)
+            client = await self.client()
+            await client.send(method="POST", body=b"p", Token_Usage="900,50", Model="m")
+            await self.until(lambda: other.state.book.at("i-1", other.state.clock()).tokens)
+        engine.released.set()
+        self.assertTrue((await client.reply()).complete)
