Answer requests that arrived while the process stood still

Cause: after a freeze longer than SOCKET_TIMEOUT_S, the event loop reads the input of a kept connection and runs its idle timer in the same turn, before the handler of the request begins. The timer saw input without a request, answered 400 and closed the connection; where the loop was stopped between its poll and its timers, it closed the connection without an answer.

Ruled out: aiohttp's own keep-alive timer, which is an hour here.

Change: the timer looks again 50 ms later; a request that is read meanwhile cancels it. Two new tests fail on the code before (400 in place of 200); a third shows that idle connections are still closed.

--- a/src/lovageway/adapters/_listener.py
+++ b/src/lovageway/adapters/_listener.py
@@ -19,6 +19,7 @@
 CONNECTIONS_A_REQUEST = 2  # idle kept-alive connections beside those that serve a request
 FULL_RETRY_S = 1.0
 FLUSH_POLL_S = 0.05
+LATE_CHECK_S = 0.05  # for a request that arrived while the process stood still to be read
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 OnRefusal = Callable[[Code], None]
@@ -133,6 +134,10 @@
         return response
 
     def _late(self) -> None:
+        """Look again a little later: after a freeze, input is due in the same turn as the timer."""
+        self._deadline = asyncio.get_running_loop().call_later(LATE_CHECK_S, self._end_late)
+
+    def _end_late(self) -> None:
         unsent = self.unsent()
         if 0 < self._unsent <= unsent:
             # The caller has read nothing of its answer: closing would wait for it without end.
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -155,5 +155,49 @@
             await self.listener.stop()
 
 
+class Frozen(unittest.IsolatedAsyncioTestCase):
+    TIMEOUT_S = 0.2
+
+    async def asyncSetUp(self):
+        self.enterContext(mock.patch.object(_listener, "SOCKET_TIMEOUT_S", self.TIMEOUT_S))
+        self.enterContext(mock.patch.object(_listener, "LINGER_S", 0.1))
+        self.listener = _listener.Listener(LIMIT, lambda code: None)
+        address = await self.listener.bind("127.0.0.1", 0)
+        await self.listener.start(self.answer)
+        self.addAsyncCleanup(self.listener.stop)
+        host, _, port = address.rpartition(":")
+        self.reader, self.writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(self.writer.close)
+
+    async def answer(self, request):
+        return web.Response(body=b"done")
+
+    async def ask(self, *, frozen_s=0.0):
+        """Send a request; the daemon stands still while it lies in the kernel."""
+        self.writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")  # goes out before the freeze
+        time.sleep(frozen_s)  # stops the event loop as SIGSTOP stops the process
+        async with asyncio.timeout(10):
+            head = await self.reader.readuntil(b"\r\n\r\n")
+            return head.split(b" ")[1], await self.reader.readexactly(4)
+
+    async def test_a_request_that_came_during_a_freeze_is_answered(self):
+        # Guards against a kept connection that the idle timer closes while a request lies unread:
+        # after a freeze the timer is due in the same turn of the loop as the input.
+        self.assertEqual(await self.ask(), (b"200", b"done"))
+        answer = await self.ask(frozen_s=2 * self.TIMEOUT_S)
+        self.assertEqual(answer, (b"200", b"done"))
+
+    async def test_a_first_request_that_came_during_a_freeze_is_answered(self):
+        # Guards against a new connection that is refused as slow although its request was sent.
+        answer = await self.ask(frozen_s=2 * self.TIMEOUT_S)
+        self.assertEqual(answer, (b"200", b"done"))
+
+    async def test_an_idle_connection_is_still_closed(self):
+        # Guards against connections that stay open for ever.
+        self.assertEqual(await self.ask(), (b"200", b"done"))
+        async with asyncio.timeout(10):
+            self.assertEqual(await self.reader.read(), b"")
+
+
 if __name__ == "__main__":
     unittest.main()
