Add a fault soak of real daemons with seeded faults

Four daemons run as processes beside a store, plain servers and engines behind proxies. A seed decides what happens: SIGSTOP, SIGKILL, SIGTERM and SIGHUP; a store that is busy, resets, is silent or forgets; links that are cut, frozen, slow or lose answers; servers that misbehave, leave or crash; changes of the configuration and evacuations, some at the same time. Callers keep their connections. Checked are at most once, truthful refusals, own and whole answers, the order of streams, planned work that cuts nothing, daemons that do not end by themselves, and that after the faults every daemon follows the last changes and serves all requests.

The caller of the relay's tests moves to standins/caller.py so that the soak uses the same one.

--- a/Makefile
+++ b/Makefile
@@ -7,14 +7,14 @@
 	$(BIN)/python -m standins.demo
 
 test: .venv/stamp
-	$(BIN)/black --check --quiet src tests bench tools standins deploy
-	$(BIN)/ruff check src tests bench tools standins deploy
+	$(BIN)/black --check --quiet src tests bench tools standins soak deploy
+	$(BIN)/ruff check src tests bench tools standins soak deploy
 	$(BIN)/mypy
 	$(BIN)/python -m tools.suite
 
 format: .venv/stamp
-	$(BIN)/black --quiet src tests bench tools standins deploy
-	$(BIN)/ruff check --fix --quiet src tests bench tools standins deploy
+	$(BIN)/black --quiet src tests bench tools standins soak deploy
+	$(BIN)/ruff check --fix --quiet src tests bench tools standins soak deploy
 
 binary: dist/lovageway
 
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,220 @@
+"""Faults of the soak: what happens at which moment follows from the seed alone."""
+
+import asyncio
+import signal
+import time
+from typing import NamedTuple
+
+from soak.servers import EngineServer, PlainServer
+from soak.world import GRACE_S
+
+BEHAVIOURS = ("fail", "shed", "busy", "unsigned", "coded", "cut", "garbage", "hang", "reset")
+PLAIN_BEHAVIOURS = ("no_length", "extra", "late_other")  # of whole bodies, which streams lack
+STORE_MODES = ("busy", "many", "reset", "silent")
+LINK_MODES = ("cut", "freeze", "lose_answers")
+DRAIN_S = 1.5  # a server serves so long after it announced its leaving
+RESTART_S = 0.4
+
+
+class Interval(NamedTuple):
+    """A fault and the time during which it works."""
+
+    kind: str
+    on: str
+    begin: float
+    end: float
+
+
+class Faults:
+    """Applies faults one after another, some of them at the same time."""
+
+    def __init__(self, world):
+        self.world = world
+        self.rng = world.rng
+        self.done = []  # intervals
+        self.bad_stops = []
+        self._busy = set()  # names of what a fault works on
+        self._kinds = [
+            self._pause,
+            self._kill,
+            self._planned_stop,
+            self._reload,
+            self._store_mode,
+            self._store_link,
+            self._server_link,
+            self._misbehave,
+            self._server_leaves,
+            self._server_crashes,
+            self._configuration,
+            self._evacuation,
+            self._compact,
+        ]
+
+    async def run(self, seconds):
+        """Begin faults for a time, then wait until all have ended."""
+        tasks, end = [], time.monotonic() + seconds
+        while time.monotonic() < end:
+            tasks.append(asyncio.create_task(self.rng.choice(self._kinds)()))
+            await asyncio.sleep(self.rng.uniform(0.1, 1.2))
+        await asyncio.gather(*tasks)
+
+    async def _at(self, kind, on, seconds, begin, finish):
+        """Let a fault work for a time, unless another one works on the same thing."""
+        if on in self._busy:
+            return
+        self._busy.add(on)
+        began = time.monotonic()
+        try:
+            begin()
+            await asyncio.sleep(seconds)
+            result = finish()
+            if asyncio.iscoroutine(result):
+                await result
+        finally:
+            self._busy.discard(on)
+            self.done.append(Interval(kind, on, began, time.monotonic()))
+
+    async def _pause(self):
+        daemon = self.rng.choice(self.world.daemons)
+        seconds = self.rng.uniform(0.2, 3.0)
+        await self._at(
+            "pause",
+            daemon.name,
+            seconds,
+            lambda: daemon.signal(signal.SIGSTOP),
+            lambda: daemon.signal(signal.SIGCONT),
+        )
+
+    async def _kill(self):
+        daemon = self.rng.choice(self.world.daemons)
+
+        async def restart():
+            daemon.start()
+            await self.world.ready_or_log(daemon)
+
+        def kill():
+            daemon.expected_end = True
+            daemon.signal(signal.SIGKILL)
+
+        await self._at("kill", daemon.name, RESTART_S, kill, restart)
+
+    async def _planned_stop(self):
+        daemon = self.rng.choice(self.world.daemons)
+
+        async def stop_and_restart():
+            code = await daemon.end(signal.SIGTERM, 2 * GRACE_S)
+            if code != 0:
+                self.bad_stops.append((daemon.name, code))
+            daemon.start()
+            await self.world.ready_or_log(daemon)
+
+        await self._at("stop", daemon.name, 0.0, lambda: None, stop_and_restart)
+
+    async def _reload(self):
+        daemon = self.rng.choice(self.world.daemons)
+        await self._at(
+            "reload", daemon.name, 0.1, lambda: daemon.signal(signal.SIGHUP), lambda: None
+        )
+
+    async def _store_mode(self):
+        store, mode = self.world.store, self.rng.choice(STORE_MODES)
+
+        def set_mode(value):
+            store.mode = value
+            store.put("op", "wake", "{}")  # ends the polls that wait
+
+        seconds = self.rng.uniform(0.5, 4.0)
+        await self._at("store", "store", seconds, lambda: set_mode(mode), lambda: set_mode("ok"))
+
+    async def _store_link(self):
+        daemon = self.rng.choice(self.world.daemons)
+        await self._link(daemon.store_link, f"{daemon.name} to store")
+
+    async def _server_link(self):
+        server = self.rng.choice(self.world.servers)
+        await self._link(server.proxy, server.name)
+
+    async def _link(self, proxy, name):
+        seconds, mode = self.rng.uniform(0.2, 2.5), self.rng.choice((*LINK_MODES, "delay", "reset"))
+
+        def begin():
+            if mode == "delay":
+                proxy.delay_s = 0.05
+            elif mode == "reset":
+                proxy.cut_now()
+            else:
+                proxy.set_mode(mode)
+
+        def finish():
+            proxy.delay_s = 0.0
+            proxy.set_mode("pass")
+
+        await self._at(f"link {mode}", name, seconds, begin, finish)
+
+    async def _misbehave(self):
+        server = self.rng.choice(self.world.servers)
+        plain = isinstance(server, PlainServer)
+        behaviour = self.rng.choice(BEHAVIOURS + PLAIN_BEHAVIOURS if plain else BEHAVIOURS)
+
+        def set_behaviour(value):
+            server.behaviour = value
+
+        seconds = self.rng.uniform(0.5, 2.5)
+        await self._at(
+            f"server {behaviour}",
+            server.name,
+            seconds,
+            lambda: set_behaviour(behaviour),
+            lambda: set_behaviour("ok"),
+        )
+
+    async def _replace(self, kind, seconds, begin):
+        world = self.world
+        group = self.rng.choice((world.plain, world.engines))
+        server = self.rng.choice(group)
+        if server.name in self._busy:
+            return
+
+        async def replace():
+            world.store.put("servers", server.name, None)
+            group.remove(server)
+            world.gone.append(server)
+            await server.stop()
+            kinds = {id(world.plain): PlainServer, id(world.engines): EngineServer}
+            new = kinds[id(group)](f"n-{world.next_server}", zone=server.zone)
+            world.next_server += 1
+            await new.start()
+            world.list_server(new, cold_remaining_ms=300)
+            group.append(new)
+
+        await self._at(kind, server.name, seconds, lambda: begin(server), replace)
+
+    async def _server_leaves(self):
+        def announce(server):
+            self.world.list_server(server, state="draining")
+
+        await self._replace("leave", DRAIN_S + 0.3, announce)
+
+    async def _server_crashes(self):
+        await self._replace("crash", 1.0, lambda server: server.proxy.set_mode("cut"))
+
+    async def _configuration(self):
+        def change():
+            self.world.extra_route = not self.world.extra_route
+            self.world.configure()
+
+        await self._at("configuration", "configuration", 0.1, change, lambda: None)
+
+    async def _evacuation(self):
+        store, zone = self.world.store, self.rng.choice(("z1", "z2", "z3"))
+        row = f"evacuate/{zone}"
+        await self._at(
+            "evacuation",
+            "zone",
+            self.rng.uniform(1.0, 3.0),
+            lambda: store.put("op", row, "{}"),
+            lambda: store.put("op", row, None),
+        )
+
+    async def _compact(self):
+        await self._at("compact", "history", 0.0, self.world.store.compact, lambda: None)
--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,220 @@
+"""What a soak runs: a store, servers and daemons, each daemon a process of its own."""
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+import yaml
+from standins.caller import HOST, KEY, free_ports
+from standins.proxy import Proxy
+from standins.store import Store
+
+from soak.servers import EngineServer, PlainServer
+
+ROOT = Path(__file__).resolve().parent.parent
+DAEMONS = 4
+ZONES = ("z1", "z2", "z3")
+GRACE_S = 4.0
+BOUNDS = {"drain_ms": 1500, "grace_period_s": GRACE_S, "contact_ms": 2000, "ttl_max_s": 2}
+READY_S = 20.0  # for a daemon to listen, on a busy machine
+LIMITS = {"max_header_bytes": 4096, "max_body_bytes": 100000}
+
+
+def route(name, kind, service, **fields):
+    """Return a route of the configuration."""
+    return {
+        "name": name,
+        "hostname": HOST,
+        "prefix": f"/{name}/",
+        "route_kind": kind,
+        "timeout_ms": 5000,
+        "target_latency_ms": 500,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 2 if kind == "idempotent" else 1,
+        "public": False,
+        "stream_resume": False,
+        "target_gap_ms": 180,
+        "allowed_regions": [],
+        **fields,
+    }
+
+
+class Daemon:
+    """One daemon: its process, its settings file and its link to the store."""
+
+    def __init__(self, number, host, ports, seeds, store, folder):
+        self.name = f"d{number}"
+        self.host = host
+        self.ports = ports
+        self.store_link = Proxy(store)
+        self.log = folder / f"{self.name}.log"
+        self.path = folder / f"{self.name}.yaml"
+        zone = ZONES[number % len(ZONES)]
+        addresses = [f"{host}:{port}" for port in ports]
+        names = ("frontend", "ready", "control_plane", "directory_service")
+        self.settings = {
+            "node_name": self.name,
+            "ip": host,
+            "zone": zone,
+            "region": f"r-{zone}",
+            "zones": {item: f"r-{item}" for item in ZONES},
+            "listen": dict(zip(names, addresses, strict=False)),
+            "internal_port_range": [ports[4], ports[5]],
+            "seed_nodes": [f"{seed}:{ports[2]}" for seed in seeds],
+            "limits": {"memory_mb": 150, "file_descriptors": 1000},
+            "bounds": BOUNDS,
+            "platform": {"address": self.store_link.address},
+        }
+        self.process = None
+        self.expected_end = False  # a signal of the soak ends it
+        self.own_ends = []  # exit codes of processes that ended by themselves
+
+    def start(self):
+        """Start the process."""
+        self.path.write_text(yaml.safe_dump(self.settings))
+        env = {**os.environ, "LOVAGEWAY_NODE_FILE": str(self.path)}
+        with self.log.open("ab") as out:
+            self.process = subprocess.Popen(
+                [sys.executable, str(ROOT / "deploy" / "relay.py")], env=env, stdout=out, stderr=out
+            )
+        self.expected_end = False
+
+    def check(self):
+        """Note a process that ended by itself, and start it again."""
+        if self.process.poll() is not None and not self.expected_end:
+            self.own_ends.append(self.process.returncode)
+            self.start()
+
+    def signal(self, number):
+        """Send a signal to the process, if it still runs."""
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    async def end(self, number, wait_s):
+        """End the process with a signal; return its exit code, None if it had to be killed."""
+        self.expected_end = True
+        self.signal(signal.SIGCONT)
+        self.signal(number)
+        try:
+            async with asyncio.timeout(wait_s):
+                while self.process.poll() is None:
+                    await asyncio.sleep(0.02)
+            return self.process.returncode
+        except TimeoutError:
+            self.process.kill()
+            self.process.wait()
+            return None
+
+
+class World:
+    """Everything that one seed of the soak runs."""
+
+    def __init__(self, rng):
+        self.rng = rng
+        self._folder = tempfile.TemporaryDirectory(prefix="soak-")
+        self.store = Store()
+        self.plain = [PlainServer(f"i-{n}", zone=ZONES[n % 3]) for n in range(3)]
+        self.engines = [EngineServer(f"e-{n}", zone=ZONES[n // 2 % 3]) for n in range(6)]
+        self.gone = []  # servers that left
+        self.daemons = []
+        self.version = 0
+        self.extra_route = False
+        self.next_server = 100
+
+    @property
+    def servers(self):
+        """Return the servers that are listed."""
+        return [*self.plain, *self.engines]
+
+    async def start(self):
+        """Start everything and wait until the daemons listen."""
+        await self.store.start()
+        for server in self.servers:
+            await server.start()
+            self.list_server(server)
+        self.configure()
+        folder = Path(self._folder.name)
+        net = f"127.0.{16 + os.getpid() % 200}"
+        hosts = [f"{net}.{n + 1}" for n in range(DAEMONS)]
+        ports = free_ports(hosts, 6)
+        for number, host in enumerate(hosts):
+            daemon = Daemon(number, host, ports, hosts[:2], self.store.address, folder)
+            self.daemons.append(daemon)
+            daemon.start()
+        for daemon in self.daemons:
+            await self.ready(daemon)
+
+    async def stop(self):
+        """End every process and close every socket of the soak."""
+        for daemon in self.daemons:
+            await daemon.end(signal.SIGKILL, 10.0)
+            daemon.process.wait()
+            daemon.store_link.listener.close()
+            daemon.store_link.set_mode("cut")
+        for server in [*self.servers, *self.gone]:
+            await server.stop()
+        await self.store.stop()
+        self._folder.cleanup()
+
+    def configure(self):
+        """Write a new version of the configuration."""
+        self.version += 3
+        routes = [
+            route("safe", "idempotent", "svc"),
+            route("once", "non_idempotent", "svc"),
+            route("stream", "streaming", "llm", timeout_ms=10000, sticky_sessions=True),
+        ]
+        if self.extra_route:
+            routes.append(route("extra", "idempotent", "svc"))
+        engine = {"slots": 24, "kv_cache_tokens": 30000, "kv_token_bytes": 1000}
+        engine |= {"link_mbps": 47000.0, "moves": True, "backups": True, "kv_ttl_s": 5.0}
+        fields = {
+            "version": self.version,
+            "routes": routes,
+            "services": [
+                {"name": "svc", "health_path": "/health", "max_connections": 200},
+                {"name": "llm", "health_path": "/health", "engine": {**engine, "stride": 4}},
+            ],
+            "limits": LIMITS,
+            "tenants": [{"name": "acc", "api_keys": [KEY], "priority": 2}],
+        }
+        self.store.put("op", "config", json.dumps(fields))
+
+    def list_server(self, server, **fields):
+        """Write a server's entry to the store."""
+        self.store.put("servers", server.name, server.entry(**fields))
+
+    async def ready(self, daemon):
+        """Wait until a daemon says that it is ready."""
+        address = daemon.settings["listen"]["ready"].split(":")
+        async with asyncio.timeout(READY_S):
+            while not await _is_ready(*address):
+                await asyncio.sleep(0.05)
+
+    async def ready_or_log(self, daemon):
+        """Wait for a daemon that starts while other faults may keep it from being ready."""
+        try:
+            await self.ready(daemon)
+        except TimeoutError:
+            print(f"{daemon.name} is not ready {READY_S} s after its start", flush=True)
+
+
+async def _is_ready(host, port):
+    try:
+        reader, writer = await asyncio.open_connection(host, int(port))
+    except OSError:
+        return False
+    try:
+        writer.write(b"GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n")
+        async with asyncio.timeout(1.0):
+            return b" 200 " in await reader.readline()
+    except (OSError, TimeoutError):
+        return False
+    finally:
+        writer.close()
--- a/tests/relayworld.py
+++ b/tests/relayworld.py
@@ -1,41 +1,18 @@
 """Daemons of the forwarding path in the test's own event loop, with stand-ins around them."""
 
 import asyncio
-import contextlib
-import random
-import socket
-import time
 import unittest
 from pathlib import Path
 
+from standins.caller import HOST, KEY, WAIT_S, Client, free_ports
 from standins.store import Store
 
 from lovageway.forwarding.model import Address, Bounds, DaemonSettings, StoreLimits
 from lovageway.forwarding.relay import Relay
 
-WAIT_S = 10.0  # for an event; far beyond what it takes
-KEY = "key-a"
-HOST = "h.example"
 BOUNDS = Bounds(2.5, 8.0, 3.0, 2.5, 0.2, 10.0, 54.0, 1.5, 5.0, 5.0)
 
 
-def free_ports(hosts, count):
-    """Return ports that are free on all hosts, for TCP and UDP."""
-    rng = random.Random(time.time_ns())
-    while True:
-        first = rng.randrange(20000, 60000)
-        with contextlib.ExitStack() as stack:
-            try:
-                for host in hosts:
-                    for port in range(first, first + count):
-                        for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-                            sock = stack.enter_context(socket.socket(socket.AF_INET, kind))
-                            sock.bind((host, port))
-            except OSError:
-                continue
-            return list(range(first, first + count))
-
-
 def route(**fields):
     known = {
         "name": "r",
@@ -106,69 +83,6 @@
         return [line for line in self.lines if line["event"] == event]
 
 
-class Reply:
-    """An answer as a client reads it."""
-
-    def __init__(self, status, headers, body, complete):
-        self.status = status
-        self.headers = headers
-        self.body = body
-        self.complete = complete
-
-
-class Client:
-    """A client's connection."""
-
-    def __init__(self, reader, writer):
-        self.reader = reader
-        self.writer = writer
-
-    async def send(self, method="GET", target="/a/x", body=b"", attempt="id-1", **headers):
-        fields = {"Host": HOST, "Attempt-Id": attempt, "Authorization": f"Bearer {KEY}"}
-        fields.update({name.replace("_", "-"): value for name, value in headers.items()})
-        if body:
-            fields["Content-Length"] = str(len(body))
-        lines = [f"{method} {target} HTTP/1.1", *(f"{k}: {v}" for k, v in fields.items() if v)]
-        self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
-        await self.writer.drain()
-
-    async def reply(self):
-        async with asyncio.timeout(WAIT_S):
-            return await self._reply()
-
-    async def _reply(self):
-        head = (await self.reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-        first, *lines = head.rstrip("\r\n").split("\r\n")
-        headers = {}
-        for line in lines:
-            name, _, value = line.partition(":")
-            headers[name.lower()] = value.strip()
-        status = int(first.split(" ")[1])
-        if headers.get("transfer-encoding") != "chunked":
-            body = await self.reader.readexactly(int(headers.get("content-length", 0)))
-            return Reply(status, headers, body, True)
-        body = b""
-        while True:
-            try:
-                size = int(await self.reader.readuntil(b"\r\n"), 16)
-                body += (await self.reader.readexactly(size + 2))[:-2]
-            except (asyncio.IncompleteReadError, ConnectionError, ValueError):
-                return Reply(status, headers, body, False)
-            if size == 0:
-                return Reply(status, headers, body, True)
-
-    async def closed(self):
-        """Wait until the daemon closes the connection; return what came before."""
-        async with asyncio.timeout(WAIT_S):
-            try:
-                return await self.reader.read()
-            except ConnectionError:
-                return b""
-
-    def close(self):
-        self.writer.transport.abort()
-
-
 class RelayCase(unittest.IsolatedAsyncioTestCase):
     """Starts a store and daemons; closes all that was started."""
 
