--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,6 +12,7 @@
 PLAIN_BEHAVIOURS = ("no_length", "extra", "late_other")  # of whole bodies, which streams lack
 STORE_MODES = ("busy", "many", "reset", "silent")
 LINK_MODES = ("cut", "freeze", "lose_answers")
+MISBEHAVE_WEIGHT = 5  # there are twelve ways to misbehave
 DRAIN_S = 1.5  # a server serves so long after it announced its leaving
 RESTART_S = 0.4
 
@@ -42,7 +43,7 @@
             self._store_mode,
             self._store_link,
             self._server_link,
-            self._misbehave,
+            *[self._misbehave] * MISBEHAVE_WEIGHT,
             self._server_leaves,
             self._server_crashes,
             self._configuration,
