Count a moved generation once in other daemons' load, and share the soak's engine with the tests

A generation that was moved was already counted at its new engine when its request went there; the message on added load counted it a second time in the other daemons until the next news. The soak's engine wrote the streams of the stand-in again; the stand-in now has one method for an event and keeps the requests that went on from a copy, which are no new runs.

--- a/soak/promises.py
+++ b/soak/promises.py
@@ -43,10 +43,13 @@
 
 
 def _runs(servers):
+    """Return how many runs each request had; one that went on from a copy is the same run."""
     ran = {}
     for server in servers:
         for attempt in server.ran:
             ran[attempt] = ran.get(attempt, 0) + 1
+        for attempt in server.went_on:
+            ran[attempt] -= 1
     return ran
 
 
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -1,12 +1,9 @@
 """Backend servers of the soak: stand-ins behind proxies whose answers name their request."""
 
-import asyncio
-import json
 import time
 
 from standins.proxy import Proxy
-from standins.replica import SIGNATURE, Engine, Replica
-from standins.wire import answer
+from standins.replica import Engine, Replica
 
 EVENTS = 40
 PACE_S = 0.02
@@ -63,35 +60,5 @@
     def __init__(self, name, host="127.0.0.1", zone="z1"):
         super().__init__(name, host, zone, EVENTS, PACE_S)
 
-    async def run(self, asked, attempt, writer):
-        if self.behaviour != "ok":
-            return await super().run(asked, attempt, writer)
-        source = asked.headers.get("kv-from")
-        if source is not None and source not in self.copies:
-            self.ran.pop()
-            writer.write(answer(503, b"", [("Not-Executed", "1"), ("Attempt-Id", attempt)]))
-            return True
-        if source is not None:
-            self.ran.pop()  # the same run goes on
-        backup = asked.headers.get("kv-backup")
-        headers = [("Attempt-Id", attempt), SIGNATURE, ("Transfer-Encoding", "chunked")]
-        writer.write(answer(200, b"", headers, length=False))
-        for number in range(int(asked.headers.get("last-event-id", 0)) + 1, EVENTS + 1):
-            if attempt in self.stopped:
-                await writer.drain()
-                return False
-            self.runs[attempt] = number
-            if backup in Engine.fleet:
-                Engine.fleet[backup].copies[f"{backup}/{attempt}"] = number
-            data = event(attempt, number)
-            writer.write(b"%x\r\n%b\r\n" % (len(data), data))
-            await writer.drain()
-            await asyncio.sleep(PACE_S)
-        writer.write(b"0\r\n\r\n")
-        await writer.drain()
-        return True
-
-
-def entry(server, **fields):
-    """Return what a server writes to the store, as JSON."""
-    return json.dumps(server.entry(**fields))
+    def event(self, attempt, number):
+        return event(attempt, number)
--- a/src/lovageway/forwarding/streams.py
+++ b/src/lovageway/forwarding/streams.py
@@ -141,7 +141,8 @@
         self._log_placed(entry)
         self._unread = self._prompt() if handover is None else 0
         state.book.wait_for(entry.id, self._unread)
-        state.load_added(self._added_load(entry), entry.replica.region)
+        if not counted:
+            state.load_added(self._added_load(entry), entry.replica.region)
         to = self.backup.replica.address if self.backup is not None else None
         sending = Sending(last_event, copy, to)
         try:
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -28,6 +28,7 @@
         self.behaviour = "ok"
         self.asked = []
         self.ran = []
+        self.went_on = []  # requests that went on from a copy: no new runs
         self.left = []
         self.released = asyncio.Event()
         self.body = b"the server's bytes"
@@ -123,6 +124,10 @@
         self.repeats = 0  # events before the asked one that a resumed stream begins with
         self.runs = {}
 
+    def event(self, attempt, number):
+        """Return one event of a stream."""
+        return b"id: %d\ndata: token %d\n\n" % (number, number)
+
     async def start(self, port=0):
         await super().start(port)
         Engine.fleet[self.address] = self
@@ -159,6 +164,8 @@
             self.ran.pop()
             writer.write(answer(503, b"", [("Not-Executed", "1"), ("Attempt-Id", attempt)]))
             return True
+        if source is not None:
+            self.went_on.append(attempt)
         backup = asked.headers.get("kv-backup")
         first = max(0, int(asked.headers.get("last-event-id", 0)) - self.repeats)
         headers = [("Attempt-Id", attempt), SIGNATURE, ("Content-Type", "text/event-stream")]
@@ -174,9 +181,9 @@
                 await writer.drain()
                 return False
             self.runs[attempt] = number
-            if backup is not None:
+            if backup in Engine.fleet:
                 Engine.fleet[backup].copies[f"{backup}/{attempt}"] = number
-            event = b"id: %d\ndata: token %d\n\n" % (number, number)
+            event = self.event(attempt, number)
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
             await asyncio.sleep(self.pace_s)
