--- a/src/lovageway/forwarding/carrying.py
+++ b/src/lovageway/forwarding/carrying.py
@@ -11,10 +11,9 @@
 
 from lovageway.forwarding.load import LoadBook
 from lovageway.forwarding.model import Engine, Service
-from lovageway.forwarding.placement import has_room
+from lovageway.forwarding.placement import TOKEN_S, has_room
 from lovageway.forwarding.replicas import Entry
 
-STEP_S = 0.010  # time for a token where none was observed yet
 NOTICE_S = 1.8  # from the announcement until the engine may be gone
 SETUP_S = 0.02  # for the two calls of a move beside the transfer
 OTHER_ZONE_FACTOR = 2.0  # copies between zones of a region take so much longer
@@ -55,12 +54,12 @@
     left = run.expected - run.made
     if left <= 0:
         left = max(0, run.limit - run.made) // 2
-    return left * (run.step_s or STEP_S)
+    return left * (run.step_s or TOKEN_S)
 
 
 def ends_in_time(run: RunState, left_s: float) -> bool:
     """Return whether a generation ends for certain before its engine is gone."""
-    return (run.limit - run.made) * (run.step_s or STEP_S) < left_s
+    return (run.limit - run.made) * (run.step_s or TOKEN_S) < left_s
 
 
 def tokens_to_hold(run: RunState) -> int:
--- a/src/lovageway/forwarding/placement.py
+++ b/src/lovageway/forwarding/placement.py
@@ -36,13 +36,11 @@
 FAILURE_S = 0.15  # expected time lost by one recent failure
 DEFAULT_LATENCY_S = 0.08
 ENGINE_OTHER_REGION = 0.5  # in requests
-ENGINE_OLD_LOAD = (
-    3.0  # in requests, where the load is old and many daemons see the same idle engine
-)
+ENGINE_OLD_LOAD = 3.0  # in requests, where load is old and many daemons see the same idle engine
 ENGINE_FAILURE = 4.0  # in requests
 STRANDED_COST = 6.0  # in requests, for a long generation that could not be carried off its engine
 LONG_S = 4.0  # generations expected to last so long or longer count as long
-TOKEN_S = 0.010  # expected time for a token
+TOKEN_S = 0.010  # time for a token where none was observed
 UNREAD_COST = 1 / 700  # in requests, for each prompt token that an engine has yet to read
 FULL_SLOTS = 1.0  # requests for each slot above which a plain server gets no more
 
--- a/src/lovageway/forwarding/request.py
+++ b/src/lovageway/forwarding/request.py
@@ -23,7 +23,6 @@
 CALL_WAIT_SHARE = 0.4
 RETRY_SOON_S = 0.2
 RETRY_FULL_S = 0.8
-STEP_S = 0.010  # expected time for a token
 CALL_S = 0.3
 
 
@@ -120,7 +119,7 @@
     generation = request.head.generation
     if generation is None:
         return CALL_S
-    return CALL_S + placement.expected_output(generation) * STEP_S
+    return CALL_S + placement.expected_output(generation) * placement.TOKEN_S
 
 
 def check(state: State, inbound: Inbound, head: RequestHead) -> Result[Request, Refusal]:
