Let the stand-in lose the answer of the write that a test means

A daemon's own write between the fault and the command took the fault; the table was down before the command's write, so "nothing was applied" was true.

Change: `lose_of` names the keys whose transactions lose their answer; the guide's test names those of the configuration. Expectations stay as they were. A test of the stand-in fails on the code before.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -1,8 +1,9 @@
 """Stand-in for the platform: table service, VM list and object store, with faults on request.
 
 ``POST /control`` sets faults: ``{"table": "up" | "down" | "slow", "lose": N}`` where `lose` is the
-number of coming transactions whose answer is lost after the write, and `then` is the state of the
-table after the last of them; ``{"vms": [...]}`` sets the VM list.
+number of coming transactions whose answer is lost after the write, of those that write a key that
+begins with `lose_of`, and `then` is the state of the table after the last of them;
+``{"vms": [...]}`` sets the VM list.
 """
 
 import hashlib
@@ -25,6 +26,7 @@
         self.table = "up"
         self.lose = 0
         self.then = None
+        self.lose_of = ""
         self.reads = self.writes = 0
 
     def handle(self, method, parts, query, data, environ):
@@ -45,7 +47,7 @@
 
     def control(self, wanted):
         with self.lock:
-            for name in ("table", "lose", "then", "vms"):
+            for name in ("table", "lose", "lose_of", "then", "vms"):
                 if name in wanted:
                     setattr(self, name, wanted[name])
             state = {"reads": self.reads, "writes": self.writes, "lose": self.lose}
@@ -84,7 +86,9 @@
                 self.rows[key] = (value, self.revision)
             for key in body["deletes"]:
                 self.rows.pop(key, None)
-            lost = self.lose > 0
+            puts = [key for key, _ in body["puts"]]
+            concerned = not self.lose_of or any(key.startswith(self.lose_of) for key in puts)
+            lost = self.lose > 0 and concerned
             self.lose -= lost
             if lost and not self.lose and self.then:
                 self.table, self.then = self.then, None
--- a/tests/test_operators_guide.py
+++ b/tests/test_operators_guide.py
@@ -99,11 +99,11 @@
             case "lovageway zone take-out gobi --wait", 2:
                 stopped.signal(signal.SIGSTOP)
             case "lovageway zone bring-back gobi", 1:
-                self.fleet.control(lose=1)
+                self.fleet.control(lose=1, lose_of="config/")
             case "lovageway zone bring-back gobi", 2:
                 self.fleet.control(table="down")
             case "lovageway zone bring-back gobi --timeout-s 1", _:
-                self.fleet.control(lose=1, then="down")
+                self.fleet.control(lose=1, lose_of="config/", then="down")
             case "lovageway status", 2:
                 env = {**env, "LOVAGEWAY_ADDRESSES": "127.0.0.1:1"}
         words = line.replace("REQUEST_ID", self.request_id).replace("NAME", "counter").split()
@@ -111,7 +111,7 @@
             return CliRunner().invoke(app, words[1:], env=env)
         finally:
             stopped.signal(signal.SIGCONT)
-            self.fleet.control(table="up", lose=0, then="")
+            self.fleet.control(table="up", lose=0, lose_of="", then="")
 
     def test_every_command_of_the_pages_ends_as_the_page_says(self):
         # Guards against a guide whose commands are mistyped, renamed or end otherwise.
--- /dev/null
+++ b/tests/test_platform_standin.py
@@ -0,0 +1,21 @@
+"""The stand-in of the platform: faults hit the transactions that a test means."""
+
+import unittest
+
+from standins.platform import Platform
+
+
+class LostAnswers(unittest.TestCase):
+    def transact(self, platform, key):
+        body = {"conditions": [], "puts": [[key, "value"]], "deletes": []}
+        return platform.transact(body).status
+
+    def test_only_transactions_on_the_named_keys_lose_their_answer(self):
+        # Guards against another daemon's write that takes the fault of the one that a test waits
+        # for: then the table is down before the command's write, which is not applied.
+        platform = Platform()
+        platform.control({"lose": 1, "lose_of": "config/", "then": "down"})
+        self.assertEqual(self.transact(platform, "orders/lease"), 200)
+        self.assertEqual((platform.lose, platform.table), (1, "up"))
+        self.assertEqual(self.transact(platform, "config/head"), 500)
+        self.assertEqual((platform.lose, platform.table), (0, "down"))
