--- a/src/lovageway/forwarding/telemetry.py
+++ b/src/lovageway/forwarding/telemetry.py
@@ -1,6 +1,19 @@
-"""Counters and histograms of the forwarding path."""
+"""Counters and histograms of the forwarding path.
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+They are kept as plain numbers; `prometheus_client` is loaded when they are first asked for, so that
+a start does not wait for it.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+from lovageway.histogram import Histogram
+
+if TYPE_CHECKING:
+    from prometheus_client import Metric
+
+PREFIX = "lovageway_"
 
 COUNTERS: dict[str, tuple[str, tuple[str, ...]]] = {
     "forwarded": ("Requests by kind and how they ended.", ("kind", "outcome")),
@@ -45,36 +58,53 @@
     """Metrics of one daemon; labels are bounded by the words of the code."""
 
     def __init__(self) -> None:
-        self.registry = CollectorRegistry()
-        self._counters = {
-            name: Counter(f"lovageway_{name}", text, labels, registry=self.registry)
-            for name, (text, labels) in COUNTERS.items()
+        self._counts: dict[str, defaultdict[tuple[str, ...], float]] = {
+            name: defaultdict(float) for name in COUNTERS
         }
-        self._gauges = {
-            name: Gauge(f"lovageway_{name}", text, registry=self.registry)
-            for name, text in GAUGES.items()
-        }
-        self._histograms = {
-            name: Histogram(
-                f"lovageway_{name}", text, labels, buckets=buckets, registry=self.registry
-            )
-            for name, (text, labels, buckets) in HISTOGRAMS.items()
+        self._gauges = dict.fromkeys(GAUGES, 0.0)
+        self._histograms: dict[str, dict[tuple[str, ...], Histogram]] = {
+            name: {} for name in HISTOGRAMS
         }
+        for name, (_, labels) in COUNTERS.items():
+            if not labels:
+                self._counts[name][()] = 0.0
 
     def add(self, name: str, *labels: str, amount: float = 1) -> None:
         """Add to a counter."""
-        counter = self._counters[name]
-        (counter.labels(*labels) if labels else counter).inc(amount)
+        self._counts[name][labels] += amount
 
     def set(self, name: str, value: float) -> None:
         """Set a gauge."""
-        self._gauges[name].set(value)
+        self._gauges[name] = value
 
     def observe(self, name: str, value: float, *labels: str) -> None:
         """Add to a histogram."""
-        histogram = self._histograms[name]
-        (histogram.labels(*labels) if labels else histogram).observe(value)
+        series = self._histograms[name]
+        if labels not in series:
+            series[labels] = Histogram(HISTOGRAMS[name][2])
+        series[labels].add(value)
+
+    def collect(self) -> Iterator["Metric"]:
+        """Return the metrics as prometheus_client exports them."""
+        from prometheus_client import core
+
+        for name, (text, names) in COUNTERS.items():
+            counter = core.CounterMetricFamily(PREFIX + name, text, labels=names)
+            for labels, value in self._counts[name].items():
+                counter.add_metric(labels, value)
+            yield counter
+        for name, text in GAUGES.items():
+            yield core.GaugeMetricFamily(PREFIX + name, text, value=self._gauges[name])
+        for name, (text, names, _) in HISTOGRAMS.items():
+            histogram = core.HistogramMetricFamily(PREFIX + name, text, labels=names)
+            for labels, series in self._histograms[name].items():
+                histogram.add_metric(labels, series.buckets(), series.total)
+            yield histogram
 
     def text(self) -> bytes:
         """Return all metrics in the text format."""
-        return bytes(generate_latest(self.registry))
+        import prometheus_client
+
+        registry = prometheus_client.CollectorRegistry()
+        registry.register(self)
+        return bytes(prometheus_client.generate_latest(registry))
--- a/src/lovageway/platform/settings.py
+++ b/src/lovageway/platform/settings.py
@@ -1,11 +1,11 @@
 """Decodes the platform's settings file."""
 
+import json
 import os
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
 
-import yaml
 from expression import Error, Ok, Result
 
 from lovageway.forwarding.model import Address, Bounds, DaemonSettings, StoreLimits
@@ -35,15 +35,31 @@
         The settings, or one line that names the field to correct. Unknown fields are ignored.
     """
     try:
-        loader = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
-        fields = yaml.load(path.read_text(), Loader=loader)
-        return Ok(_decode(fields))
+        return Ok(_decode(_parse(path.read_text())))
     except KeyError as exc:
         return Error(f"{path}: add the field {exc.args[0]!r}")
-    except (OSError, yaml.YAMLError, TypeError, ValueError, AttributeError) as exc:
+    except (OSError, TypeError, ValueError, AttributeError) as exc:
         return Error(f"{path}: {exc}")
 
 
+def _parse(text: str) -> Mapping[str, Any]:
+    """Return the fields of JSON, which the deploy file asks for, or of YAML."""
+    try:
+        fields = json.loads(text)
+    except ValueError:
+        # Loaded here since most starts do not need it.
+        import yaml
+
+        loader = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+        try:
+            fields = yaml.load(text, Loader=loader)
+        except yaml.YAMLError as exc:
+            raise ValueError(str(exc)) from exc
+    if not isinstance(fields, dict):
+        raise ValueError("write the settings as one table of fields")
+    return fields
+
+
 def _decode(fields: Mapping[str, Any]) -> DaemonSettings:
     listen = fields["listen"]
     first, last = fields["internal_port_range"]
--- a/src/lovageway/timing.py
+++ b/src/lovageway/timing.py
@@ -1,12 +1,12 @@
 """Times between tokens as Prometheus histograms, cheap enough to be taken for each token."""
 
-from bisect import bisect_left
 from collections.abc import Iterator
-from itertools import accumulate
 
 from prometheus_client.core import CounterMetricFamily, HistogramMetricFamily, Metric
 from prometheus_client.registry import Collector
 
+from lovageway.histogram import Histogram
+
 GAP_BOUNDS_S = (0.005, 0.01, 0.02, 0.03, 0.05, 0.075, 0.1, 0.15, 0.25, 0.5, 1.0, 2.5, 5.0)
 FIRST_BOUNDS_S = (0.05, 0.1, 0.25, 0.5, 0.75, 0.97, 1.5, 2.5, 5.0, 10.0, 30.0)
 STALL_S = 0.5  # a longer gap counts as stalled time
@@ -22,29 +22,12 @@
 }
 
 
-class _Histogram:
-    """Counts by bucket; changed by the event loop's thread alone, so it needs no lock."""
-
-    def __init__(self, bounds: tuple[float, ...]) -> None:
-        self.bounds = bounds
-        self.counts = [0] * (len(bounds) + 1)
-        self.total = 0.0
-
-    def add(self, value: float) -> None:
-        self.counts[bisect_left(self.bounds, value)] += 1
-        self.total += value
-
-    def buckets(self) -> list[tuple[str, float]]:
-        names = [*map(str, self.bounds), "+Inf"]
-        return list(zip(names, map(float, accumulate(list(self.counts))), strict=True))
-
-
 class _Series:
     """Measures of one service and request class."""
 
     def __init__(self) -> None:
-        self.gaps = _Histogram(GAP_BOUNDS_S)
-        self.firsts = _Histogram(FIRST_BOUNDS_S)
+        self.gaps = Histogram(GAP_BOUNDS_S)
+        self.firsts = Histogram(FIRST_BOUNDS_S)
         self.stalled = 0.0
 
 
