--- a/src/lovageway/forwarding/carrying.py
+++ b/src/lovageway/forwarding/carrying.py
@@ -112,12 +112,13 @@
     for entry in entries:
         if entry.id == source.id or service.engine is None:
             continue
-        if not has_room(service, tokens_to_hold(run), entry, book, now):
+        load = book.at(entry.id, now)
+        if not has_room(service, tokens_to_hold(run), load):
             continue
         seconds = copy_s(service.engine, run, source, entry)
         if seconds > left_s:
             continue
-        cost = book.at(entry.id, now).requests + FAILURE_COST * entry.failures(now)
+        cost = load.requests + FAILURE_COST * entry.failures(now)
         cost += COPY_SECOND_COST * seconds
         if cost < best_cost:
             best, best_cost = entry, cost
@@ -153,6 +154,8 @@
         self.at = at
         self.runs: dict[str, LeavingRun] = {}
         self.done: set[str] = set()
+        self.daemons: set[str] = set()  # addresses of those whose generations run there
+        self.ordered: list[LeavingRun] | None = None  # by turn; None after a change
 
 
 class Turns:
@@ -180,10 +183,27 @@
         notice = self._notices.get(server)
         return now - notice.at if notice is not None else 0.0
 
-    def on_runs(self, server: str, runs: list[LeavingRun], now: float) -> None:
-        """Take a daemon's generations on an engine that leaves."""
+    def on_runs(
+        self, server: str, runs: list[LeavingRun], now: float, daemon: str | None = None
+    ) -> None:
+        """Take generations on an engine that leaves.
+
+        Parameters
+        ----------
+        daemon
+            Address of the daemon whose generations they are; None for this one's.
+        """
         self.on_notice(server, now)
-        self._notices[server].runs.update({run.id: run for run in runs})
+        notice = self._notices[server]
+        notice.runs.update({run.id: run for run in runs})
+        notice.ordered = None
+        if daemon is not None:
+            notice.daemons.add(daemon)
+
+    def daemons(self, server: str) -> set[str]:
+        """Return the addresses of the other daemons whose generations run on an engine."""
+        notice = self._notices.get(server)
+        return notice.daemons if notice is not None else set()
 
     def on_done(self, server: str, run: str) -> None:
         """Note that a generation needs the link no more."""
@@ -198,10 +218,13 @@
         waited = now - notice.at - self.GATHER_S
         if waited < 0:
             return False
-        ordered = sorted(notice.runs.values(), key=lambda r: (r.copy_ms / max(1, r.worth), r.id))
+        if notice.ordered is None:
+            notice.ordered = sorted(
+                notice.runs.values(), key=lambda r: (r.copy_ms / max(1, r.worth), r.id)
+            )
         ahead = 0.0
         pending = False
-        for other in ordered:
+        for other in notice.ordered:
             if other.id == run:
                 break
             ahead += self.PATIENCE * other.copy_ms / 1000 + self.CALLS_S
--- a/src/lovageway/forwarding/duty.py
+++ b/src/lovageway/forwarding/duty.py
@@ -5,13 +5,10 @@
 on; whoever hears nothing from them, or hears that the store turns them away, takes their place.
 """
 
-from hashlib import blake2b
-
-from lovageway.forwarding.members import READY, Candidate, MemberFacts
+from lovageway.forwarding.members import READY, SILENT_S, Candidate, MemberFacts, order
 
 ALL_WATCH_MOST = 12  # daemons
 WATCHERS = 2  # in each region of a larger fleet
-SILENT_S = 0.9  # a watcher that was silent for so long is replaced
 
 
 def watches(own: MemberFacts, store_lost: bool, others: list[Candidate], daemons: int) -> bool:
@@ -35,13 +32,9 @@
         and item.facts.state == READY
         and item.silent_s < SILENT_S
     ]
-    mine = _order(own)
+    mine = order(own.ip)
     if store_lost:
         # While the store is away from all, only the first ones keep asking.
-        return sum(_order(item.facts) < mine for item in near) < WATCHERS
-    ahead = sum(not item.store_lost and _order(item.facts) < mine for item in near)
+        return sum(order(item.facts.ip) < mine for item in near) < WATCHERS
+    ahead = sum(not item.store_lost and order(item.facts.ip) < mine for item in near)
     return ahead < WATCHERS
-
-
-def _order(facts: MemberFacts) -> bytes:
-    return blake2b(facts.ip.encode(), digest_size=8).digest()
--- a/src/lovageway/forwarding/gossip.py
+++ b/src/lovageway/forwarding/gossip.py
@@ -8,7 +8,7 @@
 import msgpack  # type: ignore[import-untyped]
 
 from lovageway.forwarding.carrying import LeavingRun
-from lovageway.forwarding.load import Load
+from lovageway.forwarding.load import Load, Loads
 from lovageway.forwarding.members import MemberFacts
 from lovageway.forwarding.mirror import Mirror
 from lovageway.forwarding.model import Row
@@ -19,15 +19,25 @@
 ROWS_MOST = 8 << 20  # bytes of one answer with rows
 
 
+class RegionSum(NamedTuple):
+    """The load of all daemons of a region."""
+
+    region: str
+    age_ms: int
+    loads: Loads
+
+
 class News(NamedTuple):
     """What one daemon tells the others."""
 
     facts: MemberFacts
     versions: dict[str, int]  # newest row by table
-    loads: dict[str, Load]
+    loads: Loads
     poison: list[tuple[bytes, int]]
     relayed: list[MemberFacts]
     store_lost: bool  # whether the store turns the sender away
+    daemons: int = 1  # how many daemons' load it is: the sender's own, or a collector's sum
+    far: tuple[RegionSum, ...] = ()  # of other regions
 
 
 class Rows(NamedTuple):
@@ -42,6 +52,7 @@
 class LeavingRuns(NamedTuple):
     """A daemon's generations on an engine that leaves."""
 
+    ip: str
     server: str
     runs: list[LeavingRun]
 
@@ -50,7 +61,7 @@
     """Load that a daemon has just added, ahead of its next news."""
 
     ip: str
-    loads: dict[str, Load]
+    loads: Loads
 
 
 class MoveDone(NamedTuple):
@@ -71,7 +82,7 @@
 
 @encode.register
 def _(message: LeavingRuns) -> bytes:
-    fields = [RUNS, message.server, [list(run) for run in message.runs]]
+    fields = [RUNS, message.ip, message.server, [list(run) for run in message.runs]]
     return bytes(msgpack.packb(fields))
 
 
@@ -86,7 +97,7 @@
 
 @encode.register
 def _(message: LoadAdded) -> bytes:
-    return bytes(msgpack.packb([ADDED, message.ip, _plain(message.loads)]))
+    return bytes(msgpack.packb([ADDED, message.ip, message.loads]))
 
 
 @encode.register
@@ -96,18 +107,11 @@
 
 @encode.register
 def _(news: News) -> bytes:
-    loads = _plain(news.loads)
-    relayed = [list(facts) for facts in news.relayed]
-    fields = [NEWS, list(news.facts), news.versions, loads, news.poison, relayed, news.store_lost]
-    return bytes(msgpack.packb(fields))
+    return bytes(msgpack.packb([NEWS, *news]))
 
 
-def _plain(loads: dict[str, Load]) -> dict[str, list[int]]:
-    return {key: list(load) for key, load in loads.items()}
-
-
-def _loads(fields: dict[Any, Any]) -> dict[str, Load]:
-    return {str(key): Load(*(int(part) for part in load)) for key, load in fields.items()}
+def _loads(fields: dict[Any, Any]) -> Loads:
+    return {str(key): Load(*map(int, load)) for key, load in fields.items()}
 
 
 def decode(data: bytes) -> Message | None:
@@ -115,10 +119,9 @@
     try:
         kind, *fields = msgpack.unpackb(data)
         if kind == RUNS:
-            server, runs = fields
-            return LeavingRuns(
-                str(server), [LeavingRun(str(i), int(c), int(w)) for i, c, w in runs]
-            )
+            ip, server, runs = fields
+            decoded_runs = [LeavingRun(str(i), int(c), int(w)) for i, c, w in runs]
+            return LeavingRuns(str(ip), str(server), decoded_runs)
         if kind == DONE:
             server, run = fields
             return MoveDone(str(server), str(run))
@@ -135,7 +138,7 @@
 
 
 def _news(fields: list[Any]) -> News:
-    facts, versions, loads, poison, relayed, store_lost = fields
+    facts, versions, loads, poison, relayed, store_lost, daemons, far = fields
     return News(
         facts=_facts(facts),
         versions={str(table): int(version) for table, version in versions.items()},
@@ -143,6 +146,8 @@
         poison=[(bytes(mark), int(count)) for mark, count in poison],
         relayed=[_facts(item) for item in relayed],
         store_lost=bool(store_lost),
+        daemons=int(daemons),
+        far=tuple(RegionSum(str(r), int(age), _loads(part)) for r, age, part in far),
     )
 
 
@@ -179,10 +184,20 @@
         if self._transport is not None:
             self._transport.close()
 
-    def send(self, data: bytes, ip: str, port: int) -> None:
-        """Send a datagram; a lost one is made up for by the next."""
-        if self._transport is not None and len(data) <= DATAGRAM_MOST:
-            self._transport.sendto(data, (ip, port))
+    def send(self, data: bytes, ips: list[str], port: int) -> bool:
+        """Send a datagram to several daemons; a lost one is made up for by the next.
+
+        Returns
+        -------
+        bool
+            False if it is too large; nothing was sent.
+        """
+        if len(data) > DATAGRAM_MOST:
+            return False
+        if self._transport is not None:
+            for ip in ips:
+                self._transport.sendto(data, (ip, port))
+        return True
 
 
 def _sender(message: Message) -> str | None:
@@ -190,7 +205,7 @@
     match message:
         case News():
             return message.facts.ip
-        case LoadAdded():
+        case LoadAdded() | LeavingRuns():
             return message.ip
     return None
 
--- a/src/lovageway/forwarding/load.py
+++ b/src/lovageway/forwarding/load.py
@@ -1,8 +1,13 @@
-"""What runs at each backend server: own requests and those that other daemons told of."""
+"""What runs at each backend server: own requests and those that other daemons told of.
+
+The sums change with each message, so that asking for the load at a server costs the same in a fleet
+of any size. In a small fleet each daemon hears every other one. In a large one it hears the sum of
+its region from collectors, and the sums of other regions through them.
+"""
 
 from typing import NamedTuple
 
-PEER_LOAD_MAX_AGE_S = 1.3  # older counts of a peer are not used; two ticks of a large fleet
+PEER_LOAD_MAX_AGE_S = 1.3  # older counts are not used; two ticks of a large fleet
 REGION_LOAD_MAX_AGE_S = 2.5  # older sums of another region are not used
 
 
@@ -17,19 +22,55 @@
     def __add__(self, other: object) -> "Load":
         if not isinstance(other, Load):
             return NotImplemented
-        return Load(*(mine + theirs for mine, theirs in zip(self, other, strict=True)))
+        return Load(
+            self.requests + other.requests,
+            self.tokens + other.tokens,
+            self.unread + other.unread,
+            self.copies + other.copies,
+        )
+
+    def __sub__(self, other: "Load") -> "Load":
+        return Load(
+            self.requests - other.requests,
+            self.tokens - other.tokens,
+            self.unread - other.unread,
+            self.copies - other.copies,
+        )
 
 
 ZERO = Load(0, 0)
+Loads = dict[str, Load]  # by server
+
+
+class Told(NamedTuple):
+    """Load that was told of, and when."""
+
+    at: float
+    loads: Loads
+    daemons: int = 1  # how many daemons it is the sum of
+
+
+def _sum(*parts: Loads) -> Loads:
+    found: Loads = {}
+    for loads in parts:
+        for server, load in loads.items():
+            found[server] = found.get(server, ZERO) + load
+    return found
 
 
 class LoadBook:
     """Load by server id."""
 
     def __init__(self) -> None:
-        self._own: dict[str, Load] = {}
-        self._peers: dict[str, tuple[float, dict[str, Load]]] = {}
-        self._regions: dict[str, tuple[float, dict[str, Load]]] = {}
+        self._own: Loads = {}
+        self._peers: dict[str, Told] = {}  # own loads of daemons that report to this one
+        self._peer_sum: Loads = {}
+        self._sums: dict[str, Told] = {}  # by collector: the region's load without this daemon's
+        self._regions: dict[str, Told] = {}  # sums of other regions
+        self._due = float("inf")  # when the oldest of what was told becomes too old
+        self._used: Loads | None = None  # sum of what is used of it; None after a message
+
+    # Own load.
 
     def add(self, server: str, tokens: int) -> None:
         """Count a request that is sent to a server."""
@@ -54,33 +95,7 @@
         else:
             self._own.pop(server, None)
 
-    def on_peer(self, peer: str, loads: dict[str, Load], now: float) -> None:
-        """Take a peer's own load."""
-        self._peers[peer] = (now, loads)
-
-    def on_peer_added(self, peer: str, loads: dict[str, Load], now: float) -> None:
-        """Take load that a peer added after its last news, and that its next news will contain."""
-        heard_at, known = self._peers.get(peer, (now, {}))
-        sums = dict(known)
-        for server, load in loads.items():
-            sums[server] = sums.get(server, ZERO) + load
-        self._peers[peer] = (heard_at, sums)
-
-    def on_region(self, region: str, loads: dict[str, Load], now: float) -> None:
-        """Take the sum of the loads of another region's daemons."""
-        self._regions[region] = (now, loads)
-
-    def total(self, now: float) -> dict[str, Load]:
-        """Return the sum of this daemon's load and its peers', without other regions."""
-        found = dict(self._own)
-        for heard_at, loads in self._peers.values():
-            if now - heard_at > PEER_LOAD_MAX_AGE_S:
-                continue
-            for server, load in loads.items():
-                found[server] = found.get(server, ZERO) + load
-        return found
-
-    def own(self) -> dict[str, Load]:
+    def own(self) -> Loads:
         """Return this daemon's load."""
         return dict(self._own)
 
@@ -88,20 +103,118 @@
         """Return this daemon's load at a server."""
         return self._own.get(server, ZERO)
 
+    # What others told.
+
+    def on_peer(self, peer: str, loads: Loads, now: float) -> None:
+        """Take a peer's own load."""
+        self._set_peer(peer, Told(now, loads))
+        self._on_told(now + PEER_LOAD_MAX_AGE_S)
+
+    def on_peer_added(self, peer: str, loads: Loads, now: float) -> None:
+        """Take load that a peer added after its last news, and that its next news will contain."""
+        known = self._peers.get(peer, Told(now, {}))
+        self._set_peer(peer, known._replace(loads=_sum(known.loads, loads)))
+        for collector, told in self._sums.items():
+            self._sums[collector] = told._replace(loads=_sum(told.loads, loads))
+        self._on_told(known.at + PEER_LOAD_MAX_AGE_S)
+
+    def on_sum(self, collector: str, loads: Loads, daemons: int, now: float) -> None:
+        """Take the load of the region's other daemons, as a collector adds it up.
+
+        Parameters
+        ----------
+        daemons
+            How many daemons the collector heard.
+        """
+        self._sums[collector] = Told(now, loads, daemons)
+        self._on_told(now + PEER_LOAD_MAX_AGE_S)
+
+    def on_region(self, region: str, loads: Loads, now: float) -> None:
+        """Take the sum of the loads of another region's daemons."""
+        old = self._regions.get(region)
+        if old is None or old.at <= now:
+            self._regions[region] = Told(now, loads)
+            self._on_told(now + REGION_LOAD_MAX_AGE_S)
+
+    def _set_peer(self, peer: str, told: Told | None) -> None:
+        """Replace what a peer told, and correct the sum by the difference."""
+        old = self._peers.pop(peer, None)
+        if old is not None:
+            for server, load in old.loads.items():
+                left = self._peer_sum[server] - load
+                if left == ZERO:
+                    del self._peer_sum[server]
+                else:
+                    self._peer_sum[server] = left
+        if told is not None:
+            self._peers[peer] = told
+            for server, load in told.loads.items():
+                self._peer_sum[server] = self._peer_sum.get(server, ZERO) + load
+
+    def _on_told(self, due: float) -> None:
+        self._used = None
+        self._due = min(self._due, due)
+
+    def _sum_used(self) -> Loads:
+        """Add up what is used of what was told: of the region, whoever knows the most daemons."""
+        best = max(self._sums.values(), key=lambda told: (told.daemons, told.at), default=None)
+        near = self._peer_sum
+        if best is not None and best.daemons > len(self._peers):
+            near = best.loads
+        return _sum(near, *(told.loads for told in self._regions.values()))
+
+    # Questions.
+
     def at(self, server: str, now: float) -> Load:
         """Return the load of all daemons at a server."""
-        found = self._own.get(server, ZERO)
-        for told, max_age in (
-            (self._peers, PEER_LOAD_MAX_AGE_S),
-            (self._regions, REGION_LOAD_MAX_AGE_S),
-        ):
-            for heard_at, loads in told.values():
-                if server in loads and now - heard_at <= max_age:
-                    found += loads[server]
-        return found
+        if now > self._due:
+            self.forget(now)
+        if self._used is None:
+            self._used = self._sum_used()
+        own, told = self._own.get(server), self._used.get(server)
+        if own is None:
+            return told or ZERO
+        return own if told is None else own + told
+
+    def total(self, now: float) -> Loads:
+        """Return the sum of this daemon's load and its peers', without other regions."""
+        self.forget(now)
+        return _sum(self._own, self._peer_sum)
+
+    def total_without(self, peer: str, total: Loads) -> Loads:
+        """Return a sum without the part of one of the peers in it."""
+        told = self._peers.get(peer)
+        if told is None or not told.loads:
+            return total
+        return {**total, **{server: total[server] - load for server, load in told.loads.items()}}
+
+    def daemons(self) -> int:
+        """Return how many daemons the total is the sum of."""
+        return 1 + len(self._peers)
+
+    def regions(self, now: float) -> dict[str, tuple[float, Loads]]:
+        """Return the sums of other regions that may be used, with their age."""
+        self.forget(now)
+        return {region: (now - told.at, told.loads) for region, told in self._regions.items()}
 
     def forget(self, now: float) -> None:
-        """Drop peers whose counts are too old to use."""
-        old = [p for p, (at, _) in self._peers.items() if now - at > PEER_LOAD_MAX_AGE_S]
-        for peer in old:
-            del self._peers[peer]
+        """Drop what is too old to use."""
+        for peer in _old(self._peers, now, PEER_LOAD_MAX_AGE_S):
+            self._set_peer(peer, None)
+        for told, age in (
+            (self._sums, PEER_LOAD_MAX_AGE_S),
+            (self._regions, REGION_LOAD_MAX_AGE_S),
+        ):
+            for key in _old(told, now, age):
+                del told[key]
+        near = [told.at for told in (*self._peers.values(), *self._sums.values())]
+        far = [told.at for told in self._regions.values()]
+        self._due = min(
+            min(near, default=float("inf")) + PEER_LOAD_MAX_AGE_S,
+            min(far, default=float("inf")) + REGION_LOAD_MAX_AGE_S,
+        )
+        self._used = None
+
+
+def _old(told: dict[str, Told], now: float, max_age_s: float) -> list[str]:
+    return [key for key, item in told.items() if now - item.at > max_age_s]
--- a/src/lovageway/forwarding/members.py
+++ b/src/lovageway/forwarding/members.py
@@ -1,19 +1,30 @@
-"""Controller of the other daemons: who is alive, ready or leaving.
+"""Controller of the other daemons: who is alive, ready or leaving, and who gets which message.
 
 Each daemon sends datagrams with a rising counter. What a daemon says of itself replaces anything
 that others said of it; what is relayed counts only if it is newer within the same incarnation.
+
+In a small fleet every daemon tells every other one. In a large one, each region has a few
+collectors, which are the first of its daemons in a fixed order: the others report to them, and they
+tell the region what all of it adds up to. Nobody appoints a collector; a daemon whose view differs
+reports to another one for a moment.
 """
 
+import heapq
+from functools import lru_cache
+from hashlib import blake2b
 from random import Random
 from typing import NamedTuple
 
 DEAD_AFTER_S = 2.0  # without news of a daemon
 LEAVING_DEAD_AFTER_S = 1.0
+SILENT_S = 0.9  # a collector or watcher that was silent for so long is replaced
 FORGET_AFTER_S = 30.0
+SETTLE_S = 3.0  # after its start a daemon has heard of all others, through collectors
 FULL_MESH_MOST = 16  # up to so many peers, each tick reaches all of them
-REGION_MOST = 40  # peers of its own region that a tick reaches in larger fleets
-ELSEWHERE = 2  # peers of other regions that a tick reaches in larger fleets
+COLLECTORS = 3  # in each region of a larger fleet
+ELSEWHERE = 3  # daemons of each other region that a collector tells of its region
 RELAYED_MOST = 8  # members described in one message
+RELAYED_NEAR = 24  # members of its region that a collector describes besides
 
 STARTING, READY, LEAVING = 0, 1, 2
 
@@ -43,21 +54,43 @@
     store_lost: bool
 
 
+class Targets(NamedTuple):
+    """Addresses that a tick's messages go to."""
+
+    reports: list[str]  # get this daemon's own load
+    region: list[str]  # get the sum of the region's load, from a collector
+    elsewhere: list[str]  # of other regions; get the same
+
+
 class Members:
-    """The daemons that this daemon knows of."""
+    """The daemons that this daemon knows of.
+
+    The live ones are kept by region as messages come and time passes, so that a question on the
+    request path costs the same in a fleet of any size.
+    """
 
-    def __init__(self, own: MemberFacts, seeds: tuple[str, ...]) -> None:
+    def __init__(
+        self, own: MemberFacts, seeds: tuple[str, ...], started_at: float = float("-inf")
+    ) -> None:
         self.own = own
         self.seeds = seeds
+        self._started_at = started_at
         self._others: dict[str, _Member] = {}
+        self._live: dict[str, dict[str, None]] = {}  # addresses by region
+        self._live_count = 0
+        self._due: list[tuple[float, str]] = []  # heap: when a live daemon may be dead
         self._contacts: set[str] = set()
-        self._relay_from = 0
+        self._is_listed = False  # the contacts are all daemons that ever announced themselves
+        self._relay_round: dict[bool, list[str]] = {}
+        self._ranks: dict[str, int] = {}  # by key, until a daemon is added or forgotten
 
     def beat(self, state: int) -> MemberFacts:
         """Advance this daemon's counter and return what it says of itself."""
         self.own = self.own._replace(counter=self.own.counter + 1, state=state)
         return self.own
 
+    # News of daemons.
+
     def on_direct(self, facts: MemberFacts, now: float, *, store_lost: bool = False) -> bool:
         """Take what a daemon says of itself; True if it was unknown, restarted or changed state."""
         old = self._others.get(facts.ip)
@@ -66,9 +99,9 @@
         if old is not None and old.facts.incarnation == facts.incarnation:
             if facts.counter <= old.facts.counter:
                 return False
-            self._others[facts.ip] = _Member(facts, now, store_lost)
+            self._hear(_Member(facts, now, store_lost))
             return old.facts.state != facts.state
-        self._others[facts.ip] = _Member(facts, now, store_lost)
+        self._hear(_Member(facts, now, store_lost))
         return True
 
     def on_relayed(self, facts: MemberFacts, now: float) -> None:
@@ -78,80 +111,211 @@
         old = self._others.get(facts.ip)
         if old is None:
             self._contacts.add(facts.ip)
-            self._others[facts.ip] = _Member(facts, now, False)
+            self._hear(_Member(facts, now, False))
         elif old.facts.incarnation == facts.incarnation and facts.counter > old.facts.counter:
-            self._others[facts.ip] = _Member(facts, now, old.store_lost)
+            self._hear(_Member(facts, now, old.store_lost))
 
     def add_contact(self, ip: str) -> None:
         """Add an address at which a daemon may be."""
         if ip != self.own.ip:
             self._contacts.add(ip)
 
+    def on_listed(self) -> None:
+        """Note that every daemon that announced itself is a contact now."""
+        self._is_listed = True
+
     def tick(self, now: float) -> None:
         """Forget daemons that were silent for long."""
+        self._expire(now)
         for ip in [i for i, m in self._others.items() if now - m.heard_at > FORGET_AFTER_S]:
             del self._others[ip]
+            self._ranks.clear()
+
+    def _hear(self, member: _Member) -> None:
+        facts = member.facts
+        old = self._others.get(facts.ip)
+        if old is not None and old.facts.region != facts.region:
+            self._set_dead(old.facts)
+        if old is None:
+            self._ranks.clear()
+        self._others[facts.ip] = member
+        live = self._live.setdefault(facts.region, {})
+        is_new = facts.ip not in live
+        if is_new:
+            live[facts.ip] = None
+            self._live_count += 1
+        if is_new or (old is not None and _silence_s(facts) < _silence_s(old.facts)):
+            heapq.heappush(self._due, (member.heard_at + _silence_s(facts), facts.ip))
+
+    def _set_dead(self, facts: MemberFacts) -> None:
+        live = self._live.get(facts.region, {})
+        if facts.ip in live:
+            del live[facts.ip]
+            self._live_count -= 1
+
+    def _expire(self, now: float) -> None:
+        """Drop the daemons from the live ones whose silence lasts too long."""
+        while self._due and self._due[0][0] < now:
+            _, ip = heapq.heappop(self._due)
+            member = self._others.get(ip)
+            if member is None or ip not in self._live.get(member.facts.region, {}):
+                continue
+            due = member.heard_at + _silence_s(member.facts)
+            if due < now:
+                self._set_dead(member.facts)
+            else:
+                heapq.heappush(self._due, (due, ip))
+
+    # Who lives.
 
     def alive(self, now: float) -> list[MemberFacts]:
         """Return the other daemons that were heard of lately."""
-        return [m.facts for m in self._others.values() if now - m.heard_at <= _silence_s(m.facts)]
+        self._expire(now)
+        return [self._others[ip].facts for live in self._live.values() for ip in live]
 
     def count(self, now: float) -> int:
         """Return how many daemons live, this one included."""
-        return 1 + len(self.alive(now))
+        self._expire(now)
+        return 1 + self._live_count
+
+    # Parts of bounds that hold for all daemons together.
+
+    def sharers(self, now: float) -> float:
+        """Return how many daemons share the fleet's bounds.
+
+        Daemons that fell silent count until they are forgotten, since they may be cut off and work
+        on. The number is infinite while this daemon has not had the time to hear of the others.
+        """
+        if now - self._started_at < SETTLE_S and not self._has_heard_all():
+            return float("inf")
+        return 1 + len(self._others)
+
+    def _has_heard_all(self) -> bool:
+        return self._is_listed and self._contacts <= self._others.keys()
+
+    def rank(self, key: str) -> int:
+        """Return how many of the daemons that share bounds come before this one, for a key."""
+        found = self._ranks.get(key)
+        if found is None:
+            mine = order(key + self.own.ip)
+            found = self._ranks[key] = sum(order(key + ip) < mine for ip in self._others)
+        return found
 
     def candidates(self, now: float) -> list[Candidate]:
-        """Return the live daemons with what matters for watching the store."""
+        """Return the live daemons of this region with what matters for watching the store."""
         return [
-            Candidate(m.facts, now - m.heard_at, m.store_lost)
-            for m in self._others.values()
-            if now - m.heard_at <= _silence_s(m.facts)
+            Candidate(member.facts, now - member.heard_at, member.store_lost)
+            for member in map(self._others.__getitem__, self.near(now))
+        ]
+
+    def describe(self, now: float) -> list[dict[str, object]]:
+        """Return the live daemons for an operator."""
+        return [
+            {**facts._asdict(), "silent_s": round(now - self._others[facts.ip].heard_at, 3)}
+            for facts in self.alive(now)
         ]
 
     def near(self, now: float) -> list[str]:
         """Return the addresses of the live daemons of this region."""
-        return [facts.ip for facts in self.alive(now) if facts.region == self.own.region]
+        return self.in_regions({self.own.region}, now)
+
+    def in_regions(self, regions: set[str], now: float) -> list[str]:
+        """Return the addresses of the live daemons of some regions."""
+        self._expire(now)
+        return [ip for region in regions for ip in self._live.get(region, ())]
 
     def is_large(self, now: float) -> bool:
         """Return whether messages to every daemon would cost too much."""
         return self.count(now) > FULL_MESH_MOST + 1
 
-    def targets(self, now: float, rng: Random) -> tuple[list[str], list[str]]:
-        """Return the addresses that this tick's messages go to.
+    # Who gets which message.
+
+    def collectors(self, now: float) -> list[str]:
+        """Return the collectors of this region; this daemon may be one of them."""
+        ready = [
+            item.facts.ip
+            for item in self.candidates(now)
+            if item.facts.state == READY and item.silent_s < SILENT_S
+        ]
+        if self.own.state == READY:
+            ready.append(self.own.ip)
+        return heapq.nsmallest(COLLECTORS, ready, key=order)
 
-        In a large fleet these are the daemons of the region, which share its servers, and random
-        ones elsewhere, through which news of members, rows and load spreads.
+    def targets(self, now: float, rng: Random) -> Targets:
+        """Return the addresses that this tick's messages go to.
 
-        Returns
-        -------
-        list of str
-            The daemons that get this daemon's load.
-        list of str
-            The daemons of other regions, that get the load of the region.
+        One random daemon of the region gets a report besides, so that the region still learns of
+        its daemons while all collectors are silent; and one silent address, to find daemons that
+        returned.
         """
-        alive = [facts.ip for facts in self.alive(now)]
-        chosen, far = alive, []
-        if self.is_large(now):
-            chosen = self.near(now)
-            if len(chosen) > REGION_MOST:
-                chosen = rng.sample(chosen, REGION_MOST)
-            elsewhere = sorted(set(alive) - set(self.near(now)))
-            far = rng.sample(elsewhere, min(ELSEWHERE, len(elsewhere)))
-        silent = (set(self.seeds) | self._contacts | set(self._others)) - set(alive)
+        if not self.is_large(now):
+            return Targets([*self.in_regions(set(self._live), now), *self._silent(rng)], [], [])
+        near, collectors = self.near(now), self.collectors(now)
+        reports = [ip for ip in collectors if ip != self.own.ip]
+        others = [ip for ip in near if ip not in reports]
+        if self.own.ip in collectors:
+            return Targets([*reports, *self._silent(rng)], others, self._elsewhere())
+        if others:
+            reports.append(rng.choice(others))
+        return Targets([*reports, *self._silent(rng)], [], [])
+
+    def _elsewhere(self) -> list[str]:
+        """Return the first daemons of each other region."""
+        found = []
+        for region, live in self._live.items():
+            if region != self.own.region:
+                ready = [ip for ip in live if self._others[ip].facts.state == READY]
+                found += heapq.nsmallest(ELSEWHERE, ready, key=order)
+        return found
+
+    def _silent(self, rng: Random) -> list[str]:
+        """Return one address of a daemon that may have returned, if there is any."""
+        silent = {
+            ip
+            for ip in (*self.seeds, *self._contacts, *self._others)
+            if ip not in self._others or ip not in self._live[self._others[ip].facts.region]
+        }
         silent.discard(self.own.ip)
-        # One silent address a tick finds daemons that returned, at a bounded cost.
-        return chosen + ([rng.choice(sorted(silent))] if silent else []), far
-
-    def relayed(self, now: float) -> list[MemberFacts]:
-        """Return the next part of the members for a message."""
-        alive = self.alive(now)
-        if not alive:
-            return []
-        if len(alive) <= RELAYED_MOST:
-            return alive
-        start = self._relay_from % len(alive)
-        self._relay_from = start + RELAYED_MOST
-        return (alive + alive)[start : start + RELAYED_MOST]
+        return [rng.choice(sorted(silent))] if silent else []
+
+    def relayed(self, now: float, *, collecting: bool = False) -> list[MemberFacts]:
+        """Return the next part of the members for a message.
+
+        Parameters
+        ----------
+        collecting
+            This daemon is a collector: more of the part are members of its region.
+        """
+        if not collecting:
+            return self._next_round(RELAYED_MOST, now, near_only=False)
+        near = self._next_round(RELAYED_NEAR, now, near_only=True)
+        return near + self._next_round(RELAYED_MOST, now, near_only=False)
+
+    def _next_round(self, most: int, now: float, *, near_only: bool) -> list[MemberFacts]:
+        self._expire(now)
+        found: list[MemberFacts] = []
+        left = self._relay_round.get(near_only, [])
+        began_anew = False
+        while len(found) < most:
+            if not left:
+                if began_anew:
+                    break
+                began_anew = True
+                left = self.near(now) if near_only else [facts.ip for facts in self.alive(now)]
+                self._relay_round[near_only] = left
+                known = {facts.ip for facts in found}
+                left[:] = [ip for ip in left if ip not in known]
+                continue
+            member = self._others.get(left.pop())
+            if member is not None and member.facts.ip in self._live[member.facts.region]:
+                found.append(member.facts)
+        return found
+
+
+@lru_cache(maxsize=4096)
+def order(name: str) -> bytes:
+    """Return what orders names, such as addresses, in a way that all daemons agree on."""
+    return blake2b(name.encode(), digest_size=8).digest()
 
 
 def _silence_s(facts: MemberFacts) -> float:
--- a/src/lovageway/forwarding/mirror.py
+++ b/src/lovageway/forwarding/mirror.py
@@ -18,11 +18,11 @@
         self._tables: dict[str, dict[str, Row]] = {}
         self._complete: set[str] = set()
         self._floor: dict[str, int] = {}
+        self._newest: dict[str, int] = {}
 
     def version(self, table: str) -> int:
         """Return the version of the newest row of a table, 0 if none is known."""
-        rows = self._tables.get(table)
-        return max((row.version for row in rows.values()), default=0) if rows else 0
+        return self._newest.get(table, 0)
 
     def complete(self, table: str) -> bool:
         """Return whether the whole table was read once."""
@@ -47,6 +47,7 @@
             old = held.get(row.key)
             if old is None or row.version > old.version:
                 held[row.key] = row
+                self._newest[row.table] = max(self._newest.get(row.table, 0), row.version)
                 taken.append(row)
         for table in {row.table for row in taken if row.value is None}:
             self._forget_removed(table)
--- a/src/lovageway/forwarding/peers.py
+++ b/src/lovageway/forwarding/peers.py
@@ -8,6 +8,7 @@
 from lovageway.forwarding.feed import Feed, StoreClient, StoreError
 from lovageway.forwarding.intake import TABLES, Intake
 from lovageway.forwarding.load import Load
+from lovageway.forwarding.members import READY, STARTING
 from lovageway.forwarding.model import Row
 from lovageway.forwarding.state import State
 from lovageway.forwarding.tokens import Tokens
@@ -115,8 +116,10 @@
         now = self._state.clock()
         if rows and self._state.members.is_large(now):
             data = gossip.encode(gossip.Rows(table, before, rows, lapsing))
-            for ip in self._state.members.near(now):
-                self._gossip.send(data, ip, self._port)
+            if not self._gossip.send(data, self._state.members.near(now), self._port):
+                # The other daemons see the newer version in this one's news and ask for the rows.
+                self._state.log("rows_too_large", table=table, rows=len(rows), bytes=len(data))
+                self.send_news()
 
     def lapsing(self) -> bool:
         """Return whether the store was away from this daemon until a moment ago."""
@@ -126,18 +129,20 @@
     # Generations on servers that leave.
 
     def _on_leaving_runs(self, server: str, runs: list[LeavingRun]) -> None:
-        self.broadcast(gossip.LeavingRuns(server, runs))
+        """Tell of generations on an engine that leaves; in a large fleet where others may be."""
+        state, now = self._state, self._state.clock()
+        entry = state.replicas.get(server)
+        regions = {facts.region for facts in state.members.alive(now)}
+        if state.members.is_large(now) and entry is not None:
+            regions = {state.cfg.region, entry.replica.region}
+        data = gossip.encode(gossip.LeavingRuns(state.cfg.ip, server, runs))
+        self._gossip.send(data, state.members.in_regions(regions, now), self._port)
 
     def move_done(self, server: str, run: str) -> None:
-        """Tell that a generation needs the link of its engine no more."""
+        """Tell the daemons with generations on an engine that one needs its link no more."""
         self._state.turns.on_done(server, run)
-        self.broadcast(gossip.MoveDone(server, run))
-
-    def broadcast(self, message: gossip.Message) -> None:
-        """Send a message to every live daemon."""
-        data = gossip.encode(message)
-        for facts in self._state.members.alive(self._state.clock()):
-            self._gossip.send(data, facts.ip, self._port)
+        data = gossip.encode(gossip.MoveDone(server, run))
+        self._gossip.send(data, sorted(self._state.turns.daemons(server)), self._port)
 
     # News.
 
@@ -148,17 +153,15 @@
         fleet the daemons of this region and of the engine's are told.
         """
         state, now = self._state, self._state.clock()
-        alive = state.members.alive(now)
         if state.members.is_large(now):
-            alive = [facts for facts in alive if facts.region in (region, state.cfg.region)]
-        peers = [facts.ip for facts in alive]
+            peers = state.members.in_regions({region, state.cfg.region}, now)
+        else:
+            peers = [facts.ip for facts in state.members.alive(now)]
         allowed = int(self._added_tokens.at(now))
         if len(peers) > allowed:
             peers = state.rng.sample(peers, allowed)
         self._added_tokens.take(len(peers))
-        data = gossip.encode(gossip.LoadAdded(state.cfg.ip, loads))
-        for ip in peers:
-            self._gossip.send(data, ip, self._port)
+        self._gossip.send(gossip.encode(gossip.LoadAdded(state.cfg.ip, loads)), peers, self._port)
 
     async def announce(self) -> None:
         """Write this daemon's row once and read the others' now and then."""
@@ -171,6 +174,7 @@
                 page = await self._client.read(MEMBERS_TABLE)
                 for row in page.rows:
                     self._state.members.add_contact(row.key)
+                self._state.members.on_listed()
                 failing = False
             except (StoreError, ValueError) as exc:
                 if not failing:
@@ -183,30 +187,48 @@
     def send_news(self) -> None:
         """Send what this daemon says of itself to the daemons whose turn it is."""
         state, now = self._state, self._state.clock()
-        facts = state.members.beat(state.lifecycle.state)
-        news = gossip.News(
-            facts=facts,
+        state.members.beat(state.lifecycle.state)
+        to = state.members.targets(now, state.rng)
+        news = self._news(now, collecting=bool(to.region))
+        self._send(news, to.reports)
+        if not to.region and not to.elsewhere:
+            return
+        total, daemons = state.book.total(now), state.book.daemons()
+        for ip in to.region:
+            loads = state.book.total_without(ip, total)
+            self._send(news._replace(loads=loads, daemons=daemons), [ip])
+        self._send(news._replace(loads=total, daemons=daemons, far=()), to.elsewhere)
+
+    def _news(self, now: float, *, collecting: bool) -> gossip.News:
+        state = self._state
+        far: tuple[gossip.RegionSum, ...] = ()
+        if collecting:
+            far = tuple(
+                gossip.RegionSum(region, int(1000 * age_s), loads)
+                for region, (age_s, loads) in state.book.regions(now).items()
+            )
+        return gossip.News(
+            facts=state.members.own,
             versions={table: state.mirror.version(table) for table in TABLES},
             loads=state.book.own(),
             poison=state.poison.spread(now),
-            relayed=state.members.relayed(now),
+            relayed=state.members.relayed(now, collecting=collecting),
             store_lost=self._store_lost(),
+            far=far,
         )
-        near, far = state.members.targets(now, state.rng)
-        port = self._port
+
+    def _send(self, news: gossip.News, ips: list[str]) -> None:
+        if not ips:
+            return
         data = gossip.encode(news)
-        for ip in near:
-            self._gossip.send(data, ip, port)
-        if far:
-            data = gossip.encode(news._replace(loads=state.book.total(now)))
-            for ip in far:
-                self._gossip.send(data, ip, port)
+        if not self._gossip.send(data, ips, self._port):
+            self._state.log("news_too_large", bytes=len(data), servers=len(news.loads))
 
     def _on_message(self, message: gossip.Message) -> None:
         now = self._state.clock()
         match message:
-            case gossip.LeavingRuns(server, runs):
-                self._state.turns.on_runs(server, runs, now)
+            case gossip.LeavingRuns(ip, server, runs):
+                self._state.turns.on_runs(server, runs, now, ip)
             case gossip.MoveDone(server, run):
                 self._state.turns.on_done(server, run)
             case gossip.Rows():
@@ -246,18 +268,32 @@
         changed = state.members.on_direct(news.facts, now, store_lost=news.store_lost)
         for facts in news.relayed:
             state.members.on_relayed(facts, now)
-        if state.members.is_large(now) and news.facts.region != state.members.own.region:
-            state.book.on_region(news.facts.region, news.loads, now)
-        else:
-            state.book.on_peer(news.facts.ip, news.loads, now)
+        self._on_load(news, now)
         state.poison.on_peer(news.facts.ip, news.poison, now)
         if changed:
-            self._state.log("daemon", ip=news.facts.ip, state=news.facts.state)
+            state.log("daemon", ip=news.facts.ip, state=news.facts.state)
+            if news.facts.state == STARTING and state.lifecycle.state == READY:
+                # It knows few daemons yet, and its turn may come late in a large fleet.
+                self._send(self._news(now, collecting=True), [news.facts.ip])
         for table, version in news.versions.items():
             if table in self._feeds and version > state.mirror.version(table):
                 self._ahead.setdefault(table, (now, news.facts.ip))
         state.pump()
 
+    def _on_load(self, news: gossip.News, now: float) -> None:
+        """Take the load of a daemon, or the sum of a region from a collector."""
+        book, own = self._state.book, self._state.members.own
+        elsewhere = news.facts.region != own.region
+        if news.daemons > 1 and elsewhere:
+            book.on_region(news.facts.region, news.loads, now)
+        elif news.daemons > 1:
+            book.on_sum(news.facts.ip, news.loads, news.daemons, now)
+        elif not elsewhere or not self._state.members.is_large(now):
+            book.on_peer(news.facts.ip, news.loads, now)
+        for region, age_ms, loads in news.far:
+            if region != own.region:
+                book.on_region(region, loads, now - age_ms / 1000)
+
     def check_ahead(self, now: float) -> None:
         """Take rows from a peer that knows newer ones than the store has told."""
         for table, (since, ip) in list(self._ahead.items()):
--- a/src/lovageway/forwarding/placement.py
+++ b/src/lovageway/forwarding/placement.py
@@ -24,7 +24,7 @@
 from random import Random
 from typing import NamedTuple
 
-from lovageway.forwarding.load import LoadBook
+from lovageway.forwarding.load import Load, LoadBook, Loads
 from lovageway.forwarding.model import Generation, Service
 from lovageway.forwarding.replicas import Entry
 
@@ -76,12 +76,13 @@
 ) -> Entry | None:
     """Return the server for a request, or None if none has room."""
     open_entries = [entry for entry in entries if entry.id not in work.avoid] or entries
+    loads = {entry.id: book.at(entry.id, now) for entry in entries}
     cost = _engine_cost if work.service.engine is not None else _plain_cost
     exposure = _exposure(work)
-    safe = _safe_regions(work, entries, book, now) if exposure > 0 else set()
+    safe = _safe_regions(work, entries, loads) if exposure > 0 else set()
     best, best_cost = None, float("inf")
     for entry in open_entries:
-        value = cost(work, entry, book, now)
+        value = cost(work, entry, loads[entry.id], now)
         if value is None:
             continue
         if entry.replica.region not in safe:
@@ -92,12 +93,11 @@
     return best
 
 
-def has_room(service: Service, tokens: int, entry: Entry, book: LoadBook, now: float) -> bool:
-    """Return whether an engine has a slot and memory for a generation."""
+def has_room(service: Service, tokens: int, load: Load) -> bool:
+    """Return whether an engine with a load has a slot and memory for a generation."""
     engine = service.engine
     if engine is None:
         return True
-    load = book.at(entry.id, now)
     fits = load.tokens + tokens <= MEMORY_USED * engine.memory_tokens or load.requests == 0
     return fits and load.requests < engine.slots
 
@@ -109,25 +109,24 @@
     return min(1.0, expected_output(work.generation) * TOKEN_S / LONG_S)
 
 
-def _safe_regions(work: Work, entries: list[Entry], book: LoadBook, now: float) -> set[str]:
+def _safe_regions(work: Work, entries: list[Entry], loads: Loads) -> set[str]:
     """Return the regions that could carry their generations and this one without any one engine."""
     assert work.service.engine is not None
     room = MEMORY_USED * work.service.engine.memory_tokens
+    wanted = need(work.generation)
     engines: dict[str, int] = {}
     tokens: dict[str, int] = {}
     for entry in entries:
-        load, region = book.at(entry.id, now), entry.replica.region
+        load, region = loads[entry.id], entry.replica.region
         engines[region] = engines.get(region, 0) + 1
-        tokens[region] = tokens.get(region, need(work.generation)) + load.tokens - load.copies
+        tokens[region] = tokens.get(region, wanted) + load.tokens - load.copies
     return {region for region, count in engines.items() if tokens[region] <= room * (count - 1)}
 
 
-def _engine_cost(work: Work, entry: Entry, book: LoadBook, now: float) -> float | None:
+def _engine_cost(work: Work, entry: Entry, load: Load, now: float) -> float | None:
     assert work.service.engine is not None
-    tokens = need(work.generation)
-    if not has_room(work.service, tokens, entry, book, now):
+    if not has_room(work.service, need(work.generation), load):
         return None
-    load = book.at(entry.id, now)
     memory = load.tokens / work.service.engine.memory_tokens
     far = 0.0
     if entry.replica.region != work.region:
@@ -141,8 +140,7 @@
     return any(book.at(entry.id, now).requests < entry.replica.slots for entry in entries)
 
 
-def _plain_cost(work: Work, entry: Entry, book: LoadBook, now: float) -> float | None:
-    load = book.at(entry.id, now)
+def _plain_cost(work: Work, entry: Entry, load: Load, now: float) -> float | None:
     slots = max(1, entry.replica.slots)
     if load.requests >= FULL_SLOTS * slots + 2:
         return None
--- a/src/lovageway/forwarding/replicas.py
+++ b/src/lovageway/forwarding/replicas.py
@@ -1,5 +1,7 @@
 """Controller of the backend servers: entries, health, cold starts and evacuated zones."""
 
+from collections.abc import Callable
+from math import isinf
 from typing import NamedTuple
 
 from lovageway.forwarding.model import Bounds, Replica, Service
@@ -40,6 +42,8 @@
 
     def failures(self, now: float) -> float:
         """Return the recent failures, each halved after FAILURE_DECAY_S."""
+        if not self._failures:
+            return 0.0
         halvings = (now - self._failures_at) / FAILURE_DECAY_S
         return self._failures * float(0.5**halvings)
 
@@ -60,10 +64,10 @@
         self.suspended_until = now + min(SUSPEND_MOST_S, SUSPEND_FIRST_S * 2**self.suspensions)
         self.suspensions += 1
 
-    def cold_room(self, per_s: float, now: float) -> bool:
+    def cold_room(self, per_s: int, now: float) -> bool:
         """Return whether a cold server may get one more request in this second."""
         self._cold_sends = [at for at in self._cold_sends if now - at < 1.0]
-        return len(self._cold_sends) < max(1, int(per_s))
+        return len(self._cold_sends) < per_s
 
     def on_sent(self, now: float) -> None:
         """Note a request that is sent."""
@@ -145,9 +149,22 @@
         return changes
 
     def usable(
-        self, service: Service, regions: frozenset[str], daemons: int, now: float
+        self,
+        service: Service,
+        regions: frozenset[str],
+        daemons: float,
+        now: float,
+        rank: Callable[[str], int] = lambda server: 0,
     ) -> list[Entry]:
-        """Return the servers of a service that may get new work now."""
+        """Return the servers of a service that may get new work now.
+
+        Parameters
+        ----------
+        daemons
+            How many daemons share the bound on requests to a cold server.
+        rank
+            How many of them come before this one, for a server.
+        """
         return [
             entry
             for entry in self._entries.values()
@@ -155,7 +172,7 @@
             and self.accepts(entry)
             and entry.suspended_until <= now
             and (not regions or entry.replica.region in regions)
-            and self._bears_more(entry, service, daemons, now)
+            and self._bears_more(entry, service, daemons, now, rank)
         ]
 
     def any_left(self, service: str, regions: frozenset[str]) -> bool:
@@ -167,11 +184,28 @@
             for entry in self._entries.values()
         )
 
-    def _bears_more(self, entry: Entry, service: Service, daemons: int, now: float) -> bool:
+    def _bears_more(
+        self,
+        entry: Entry,
+        service: Service,
+        daemons: float,
+        now: float,
+        rank: Callable[[str], int],
+    ) -> bool:
+        """Return whether a server bears one more request, if it is cold.
+
+        The bound holds for all daemons together. Each has an equal part of it; where that is less
+        than one request a second, the first daemons in an order that differs by server have one
+        each and the others send it nothing.
+        """
         if now >= entry.cold_until or service.cold_per_s <= 0:
             return True
         bound = service.cold_per_s * self.bounds.cold_overshoot + self.bounds.cold_tolerance
-        return entry.cold_room(COLD_SAFETY * bound / max(1, daemons), now)
+        room = max(1, int(COLD_SAFETY * bound))
+        share = int(room / daemons)
+        if share == 0 and not isinf(daemons):
+            share = int(rank(entry.id) < room)
+        return entry.cold_room(share, now)
 
     def all(self) -> list[Entry]:
         """Return every entry."""
--- a/src/lovageway/forwarding/request.py
+++ b/src/lovageway/forwarding/request.py
@@ -16,7 +16,7 @@
 from lovageway.forwarding.replicas import Entry
 from lovageway.forwarding.routes import pick_service
 from lovageway.forwarding.state import State
-from lovageway.forwarding.waiting import Rank
+from lovageway.forwarding.waiting import Need, Rank
 
 MARGIN_S = 0.03  # before the end of a request's time, for its answer to arrive
 STREAM_WAIT_SHARE = 0.5  # of the time left that a generation waits for an engine
@@ -163,7 +163,8 @@
     rank = Rank(request.priority, request.inbound.arrived_at, target_at)
     share = STREAM_WAIT_SHARE if request.service.engine is not None else CALL_WAIT_SHARE
     limit = max(0.0, min(share * request.left_s(), request.left_s() - MARGIN_S))
-    entry = await state.waiting.wait(rank, choose, limit)
+    kind = (request.service.name, request.regions, frozenset(request.tried))
+    entry = await state.waiting.wait(rank, Need(kind, request.tokens), choose, limit)
     request.waited_s += state.clock() - began
     if entry is None:
         return Error(Refusal(Code.WAITED_TOO_LONG, retry_after_s=RETRY_SOON_S))
--- a/src/lovageway/forwarding/retries.py
+++ b/src/lovageway/forwarding/retries.py
@@ -43,17 +43,17 @@
         """Count a client's request."""
         self._requests.add(now)
 
-    def take(self, daemons: int, now: float) -> bool:
+    def take(self, daemons: float, now: float) -> bool:
         """Take one repeat; False if the budget is spent.
 
         Parameters
         ----------
         daemons
-            How many daemons share the fixed allowance.
+            How many daemons share the fixed allowance; infinite if that is not known yet.
         """
         self._requests.expire(now, early=True)
         self._repeats.expire(now, early=False)
-        allowed = self._ratio * self._requests.total + self._extra / max(1, daemons)
+        allowed = self._ratio * self._requests.total + self._extra / max(1.0, daemons)
         if self._repeats.total + 1 > SAFETY * allowed:
             return False
         self._repeats.add(now)
--- a/src/lovageway/forwarding/state.py
+++ b/src/lovageway/forwarding/state.py
@@ -44,7 +44,7 @@
         self.telemetry = Telemetry()
         incarnation = time.time_ns() // 1_000_000
         own = MemberFacts(cfg.ip, incarnation, 0, STARTING, cfg.zone, cfg.region)
-        self.members = Members(own, cfg.seeds)
+        self.members = Members(own, cfg.seeds, clock())
         self.lifecycle = Lifecycle(cfg.bounds)
         self.mirror = Mirror()
         self.replicas = Replicas(cfg.bounds)
@@ -95,14 +95,15 @@
     def take_repeat(self, service: str) -> bool:
         """Take a repeat from the budget of a service."""
         now = self.clock()
-        allowed = self.budget(service).take(self.members.count(now), now)
+        allowed = self.budget(service).take(self.members.sharers(now), now)
         self.telemetry.add("forward_repeats", "yes" if allowed else "no")
         return allowed
 
     def usable(self, service: Service, regions: frozenset[str]) -> list[Entry]:
         """Return the servers that may get a request of a service now."""
         now = self.clock()
-        return self.replicas.usable(service, regions, self.members.count(now), now)
+        members = self.members
+        return self.replicas.usable(service, regions, members.sharers(now), now, members.rank)
 
     def choose(self, work: placement.Work, regions: frozenset[str]) -> Entry | None:
         """Return the server for a request, or None if none has room."""
@@ -120,10 +121,7 @@
         return {
             "phase": self.lifecycle.state,
             "config_version": self.routes.cfg.version if self.routes is not None else None,
-            "members": [
-                {**item.facts._asdict(), "silent_s": round(item.silent_s, 3)}
-                for item in self.members.candidates(now)
-            ],
+            "members": self.members.describe(now),
             "servers": [
                 {
                     "id": entry.id,
--- a/src/lovageway/forwarding/waiting.py
+++ b/src/lovageway/forwarding/waiting.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
 from typing import Generic, NamedTuple, TypeVar
 
 T = TypeVar("T")
@@ -22,9 +22,17 @@
     target_at: float  # until when the answer is on time
 
 
+class Need(NamedTuple):
+    """What a waiting request needs of a place."""
+
+    kind: Hashable  # requests of one kind fit the same places but for their size
+    size: int  # where one finds no place, no larger one of its kind does
+
+
 class _Waiter(Generic[T]):
-    def __init__(self, rank: Rank, attempt: Callable[[], T | None]) -> None:
+    def __init__(self, rank: Rank, need: "Need", attempt: Callable[[], T | None]) -> None:
         self.rank = rank
+        self.need = need
         self.attempt = attempt
         self.fut: asyncio.Future[T] = asyncio.get_running_loop().create_future()
 
@@ -46,9 +54,11 @@
         """Return whether no more requests may wait."""
         return len(self._waiters) >= QUEUE_MOST
 
-    async def wait(self, rank: Rank, attempt: Callable[[], T | None], limit_s: float) -> T | None:
+    async def wait(
+        self, rank: Rank, need: Need, attempt: Callable[[], T | None], limit_s: float
+    ) -> T | None:
         """Wait until `attempt` finds a place; None after the limit."""
-        waiter = _Waiter(rank, attempt)
+        waiter = _Waiter(rank, need, attempt)
         self._waiters.append(waiter)
         try:
             async with asyncio.timeout(limit_s):
@@ -60,14 +70,21 @@
                 self._waiters.remove(waiter)
 
     def pump(self, now: float) -> None:
-        """Give free places to the requests that go first."""
+        """Give free places to the requests that go first.
+
+        A place is looked for once for each kind and size that does not fit, however many wait.
+        """
+        refused: dict[Hashable, int] = {}
         for waiter in sorted(self._waiters, key=lambda item: item.key(now)):
-            if waiter.fut.done():
+            kind, size = waiter.need
+            if waiter.fut.done() or size >= refused.get(kind, size + 1):
                 continue
             place = waiter.attempt()
-            if place is not None:
-                waiter.fut.set_result(place)
-                self._waiters.remove(waiter)
+            if place is None:
+                refused[kind] = size
+                continue
+            waiter.fut.set_result(place)
+            self._waiters.remove(waiter)
 
 
 def _has_result(fut: asyncio.Future[T]) -> bool:
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -19,12 +19,14 @@
         news = gossip.News(
             FACTS, {"op": 7}, {"i-1": Load(2, 300, 40, 100)}, [(b"12345678", 2)], [FACTS], True
         )
-        runs = gossip.LeavingRuns("i-1", [LeavingRun("a", 200, 9000)])
+        far = gossip.RegionSum("r2", 300, {"i-9": Load(4, 9000)})
+        total = news._replace(daemons=64, far=(far,))
+        runs = gossip.LeavingRuns("10.0.0.1", "i-1", [LeavingRun("a", 200, 9000)])
         rows = gossip.Rows("op", 6, [Row("op", "config", b"{}", 7), Row("op", "a", None, 8)], True)
         added = gossip.LoadAdded(
             "10.0.0.1", {"i-1": Load(1, 300, 300), "i-2": Load(0, 300, 0, 300)}
         )
-        for message in (news, runs, rows, gossip.MoveDone("i-1", "a"), added):
+        for message in (news, total, runs, rows, gossip.MoveDone("i-1", "a"), added):
             with self.subTest(kind=type(message).__name__):
                 self.assertEqual(gossip.decode(gossip.encode(message)), message)
 
@@ -38,7 +40,9 @@
         self.assertEqual((len(seen), receiver.rejected), (1, 1))
         added = gossip.encode(gossip.LoadAdded("10.0.0.1", {"i-1": Load(24, 30000)}))
         receiver.datagram_received(added, ("10.0.0.2", 7200))
-        self.assertEqual((len(seen), receiver.rejected), (1, 2))
+        runs = gossip.encode(gossip.LeavingRuns("10.0.0.1", "i-1", []))
+        receiver.datagram_received(runs, ("10.0.0.2", 7200))
+        self.assertEqual((len(seen), receiver.rejected), (1, 3))
 
     @settings(derandomize=True)
     @given(st.binary(max_size=100))
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -208,7 +208,12 @@
         peers, sent = self.relays[0]._peers, []
         state = self.relays[0].state
         await self.until(lambda: len(state.members.alive(state.clock())) == 1)
-        with mock.patch.object(peers._gossip, "send", lambda *fields: sent.append(fields)):
+
+        def send(data, ips, port):
+            sent.extend((data, ip) for ip in ips)
+            return True
+
+        with mock.patch.object(peers._gossip, "send", send):
             began = state.clock()
             for _ in range(1000):
                 peers.load_added({"i-1": Load(1, 3000, 3000)}, "r1")
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from lovageway.forwarding.members import READY, MemberFacts, Members
 from lovageway.forwarding.replicas import LAPSE_GRACE_S, SUSPEND_MOST_S, Replicas
 from tests.replicabuilders import BOUNDS, replica, service
 
@@ -76,3 +77,65 @@
         for begin in range(3):
             self.assertLessEqual(sum(begin <= at < begin + 1 for at in sent), bound)
         self.assertGreater(len(sent), 100)
+
+
+class ColdServersOfLargeFleets(unittest.TestCase):
+    """Load: a server returns cold in a fleet of more daemons than it bears requests a second."""
+
+    DAEMONS = 195
+    COLD = service(cold_s=60.0, cold_per_s=19.0)
+    BOUND = 19.0 * BOUNDS.cold_overshoot + BOUNDS.cold_tolerance
+
+    def setUp(self):
+        self.facts = [
+            MemberFacts(f"10.0.{n % 3}.{n}", 1, 1, READY, "z", f"r{n % 3}")
+            for n in range(self.DAEMONS)
+        ]
+        self.replicas = [Replicas(BOUNDS) for _ in self.facts]
+        for known in self.replicas:
+            known.on_entry(replica(cold_s=60.0), 0.0)
+
+    def members(self, number, others, started_at=-100.0):
+        members = Members(self.facts[number], (), started_at)
+        for facts in others:
+            members.on_direct(facts, 0.0)
+        return members
+
+    def worst_second(self, fleet, until=3.0):
+        """Every daemon sends whatever it may; return the most requests of any second."""
+        sent = []
+        for step in range(int(until * 50)):
+            now = step / 50
+            for known, members in zip(self.replicas, fleet, strict=True):
+                sharers = members.sharers(now)
+                found = known.usable(self.COLD, ANYWHERE, sharers, now, members.rank)
+                for entry in found:
+                    entry.on_sent(now)
+                    sent.append(now)
+        return max((sum(at <= other < at + 1.0 for other in sent) for at in set(sent)), default=0)
+
+    def test_the_sum_holds_where_each_daemon_knows_all(self):
+        # Guards against one request a second from each of 195 daemons.
+        fleet = [self.members(n, self.facts) for n in range(self.DAEMONS)]
+        worst = self.worst_second(fleet)
+        self.assertLessEqual(worst, self.BOUND)
+        self.assertGreater(worst, self.BOUND / 2)
+
+    def test_daemons_that_have_just_started_send_nothing_until_they_know_the_others(self):
+        # Guards against daemons that take themselves for alone after many were killed at once.
+        fleet = [
+            self.members(n, self.facts if n % 2 else [], -100.0 if n % 2 else 0.0)
+            for n in range(self.DAEMONS)
+        ]
+        self.assertLessEqual(self.worst_second(fleet, until=2.9), self.BOUND)
+
+    def test_a_region_that_was_cut_off_takes_no_larger_part(self):
+        # Guards against two sides of a cut that each use the whole bound.
+        fleet = [self.members(n, self.facts) for n in range(self.DAEMONS)]
+        for number, members in enumerate(fleet):
+            for facts in self.facts:
+                if facts.region == self.facts[number].region:
+                    members.on_direct(facts._replace(counter=2), 10.0)
+            members.tick(10.0)
+            self.assertEqual(members.count(10.0), self.DAEMONS / 3)
+        self.assertLessEqual(self.worst_second(fleet), self.BOUND)
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -35,6 +35,14 @@
         self.assertFalse(budget.take(1, 9.0))
         self.assertTrue(budget.take(1, 11.0))
 
+    def test_a_daemon_that_does_not_know_how_many_share_uses_its_requests_part_alone(self):
+        # Guards against hundreds of daemons that each use the whole allowance after a restart.
+        budget = RetryBudget(0.2, 430, 10.0)
+        for _ in range(50):
+            budget.on_request(0.0)
+        sent = sum(budget.take(float("inf"), 0.0) for _ in range(100))
+        self.assertEqual(sent, 8)
+
     @settings(derandomize=True)
     @given(st.lists(st.tuples(st.floats(0, 1), st.booleans()), max_size=200))
     def test_no_window_exceeds_the_bound(self, steps):
