Bound what a server may send, pause reading for slow clients, and drop second copies of answers

Ruled out: waiting for the own answer behind one without an id (a server that sends no ids would hold each call to its deadline); it ends at once as broken off, with 502.

--- a/src/lovageway/forwarding/attempt.py
+++ b/src/lovageway/forwarding/attempt.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from lovageway.forwarding.model import Address, AnswerHead
-from lovageway.forwarding.outbound import Exchange, Part
+from lovageway.forwarding.outbound import ANSWER_MOST, Exchange, Part
 from lovageway.forwarding.replicas import Entry
 from lovageway.forwarding.request import Request
 from lovageway.platform import heads
@@ -48,7 +48,12 @@
 
 @asynccontextmanager
 async def sent(
-    request: Request, entry: Entry, sending: Sending, *, counted: bool = False
+    request: Request,
+    entry: Entry,
+    sending: Sending,
+    *,
+    counted: bool = False,
+    body_most: int | None = ANSWER_MOST,
 ) -> AsyncIterator[Exchange]:
     """Send a request and give back what it took when its answer has ended.
 
@@ -56,6 +61,8 @@
     ----------
     counted
         The load of the attempt was already added, as for a move's destination.
+    body_most
+        Bytes that the answer's body may have; None for a stream of events.
 
     Raises
     ------
@@ -65,15 +72,19 @@
     state = request.state
     if not counted:
         state.book.add(entry.id, request.tokens)
-    exchange = Exchange(request.head.attempt_id, no_body=request.inbound.method == "HEAD")
+    attempt_id = request.head.attempt_id
+    no_body = request.inbound.method == "HEAD"
+    exchange = Exchange(attempt_id, no_body=no_body, body_most=body_most)
     conn = None
     try:
         try:
-            conn = await state.pool.acquire(connection_key(entry), entry.replica.address)
+            conn = await state.pool.acquire(
+                connection_key(entry), entry.replica.address, attempt_id
+            )
         except OSError as exc:
             entry.on_unreachable(state.clock())
             request.tried.add(entry.id)
-            state.log("server_unreachable", id=request.head.attempt_id, server=entry.id)
+            state.log("server_unreachable", id=attempt_id, server=entry.id)
             raise NotSentError from exc
         added = heads.Forwarded(
             deadline_s=request.left_s(),
@@ -91,6 +102,9 @@
         conn.begin(exchange, heads.forwarded(request.head, added, request.inbound.body))
         yield exchange
     finally:
+        if exchange.fault is not None:
+            state.telemetry.add("answers_rejected", exchange.fault)
+            state.log("answer_rejected", id=attempt_id, server=entry.id, fault=exchange.fault)
         if conn is not None:
             if exchange.ended:
                 state.pool.release(connection_key(entry), conn)
@@ -125,6 +139,7 @@
     began = state.clock()
     head: AnswerHead | None = None
     body = bytearray()
+    request.answer.release()
     try:
         async with sent(request, entry, Sending(request.head.last_event)) as exchange:
             while True:
@@ -134,6 +149,10 @@
                     return Attempt(Outcome.SILENT, head, b"")
                 if part.head is not None:
                     head = part.head
+                if not request.answer.take(len(part.data)):
+                    exchange.fault = "memory"
+                    entry.on_failure(state.clock())
+                    return Attempt(Outcome.BROKEN, head, b"")
                 body += part.data
                 if part.end:
                     break
--- a/src/lovageway/forwarding/connections.py
+++ b/src/lovageway/forwarding/connections.py
@@ -13,8 +13,9 @@
 LINGER_S = 1.0  # how long input is discarded before a connection with unread input is closed
 CLOSE_CHECK_S = 0.05  # input that arrived with an idle timeout is read before the close
 DEFAULT_LIMITS = RequestLimits(16384, 4 << 20, 3.0, 15.0)
-WRITE_HIGH_WATER = 256 * 1024  # bytes
+WRITE_HIGH_WATER = 64 * 1024  # bytes of answers that a client has yet to read
 UNREAD_S = 10.0  # a client that reads nothing for so long is cut
+BODY_LEAST_BYTES_S = 1024  # a body that comes more slowly, after the time for a head, is refused
 
 BODY_REFUSED_RETRY_S = 0.5
 REASONS = {
@@ -91,6 +92,8 @@
         self._body_size = 0
         self._held = 0  # bytes of bodies that this connection keeps
         self._head_size = 0
+        self._trailer_size = 0
+        self._between = 0  # bytes since the parser last made something of them
         self._in_message = False
         self._head_done = False
         self._message_at = 0.0
@@ -124,6 +127,7 @@
         limits = self._handler.limits()
         if not self._head_done:
             self._head_size += len(data)
+        self._between += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -133,6 +137,8 @@
         else:
             if self._in_message and not self._head_done and self._head_size > limits.header_bytes:
                 self._reject(431, "the head exceeds the limit")
+            elif self._head_done and self._between > limits.header_bytes:
+                self._reject(400, "a chunk's extension or a trailer exceeds the limit")
         self._next()
 
     def eof_received(self) -> bool:
@@ -173,12 +179,18 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take a header; those of a trailer are dropped."""
+        self._between = 0
         if not self._head_done:
             self._headers.append((name, value))
+            return
+        self._trailer_size += len(name) + len(value)
+        if self._trailer_size > self._handler.limits().header_bytes:
+            self._reject(431, "the trailer exceeds the limit")
 
     def on_headers_complete(self) -> None:
         """Check what the head says of the body."""
         self._head_done = True
+        self._between = self._trailer_size = 0
         limits = self._handler.limits()
         size = len(self._url) + sum(len(n) + len(v) + 4 for n, v in self._headers)
         self._head_size = 0
@@ -195,6 +207,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Take a part of the body."""
+        self._between = 0
         if self._discarding:
             return
         if not self._handler.hold_body(len(body)):
@@ -210,7 +223,7 @@
     def on_message_complete(self) -> None:
         """Queue a whole request."""
         self._in_message = self._head_done = False
-        self._head_size = 0
+        self._head_size = self._between = 0
         if self._discarding:
             return
         version = self._parser.get_http_version()
@@ -342,7 +355,8 @@
             return
         elif self._in_message:
             quiet = now - (self.active_at if self._head_done else self._message_at)
-            if quiet > limits.header_timeout_s:
+            slow = now - self._message_at - self._body_size / BODY_LEAST_BYTES_S
+            if max(quiet, slow) > limits.header_timeout_s:
                 self._reject(408, "the request did not arrive in time")
         elif close_idle or now - self.active_at > limits.idle_timeout_s:
             seen = self.active_at
--- a/src/lovageway/forwarding/forwarder.py
+++ b/src/lovageway/forwarding/forwarder.py
@@ -45,6 +45,8 @@
             self.outcome = "fault"
             self.conn.abort()
         finally:
+            if self.request is not None:
+                self.request.answer.release()
             self._note()
 
     async def _run(self) -> None:
@@ -82,6 +84,7 @@
             request.ends.append(last.outcome.value)
             if last.outcome is Outcome.ANSWERED:
                 self.answer(last)
+                await self.conn.drained()  # the answer's memory is held until then
                 return
             if last.outcome in (Outcome.FAILED, Outcome.BROKEN, Outcome.SILENT):
                 request.runs += 1
--- a/src/lovageway/forwarding/gossip.py
+++ b/src/lovageway/forwarding/gossip.py
@@ -17,6 +17,7 @@
 DATAGRAM_MOST = 8192  # bytes
 PULL_TIMEOUT_S = 1.0
 ROWS_MOST = 8 << 20  # bytes of one answer with rows
+_UNREADABLE = (ValueError, TypeError, AttributeError, OverflowError, msgpack.UnpackException)
 
 
 class RegionSum(NamedTuple):
@@ -130,10 +131,9 @@
             return LoadAdded(str(ip), _loads(loads))
         if kind == ROWS:
             table, after, rows, lapsing = fields
-            decoded = [Row(str(t), str(k), v, int(n)) for t, k, v, n in rows]
-            return Rows(str(table), int(after), decoded, bool(lapsing))
+            return Rows(str(table), int(after), [_row(row) for row in rows], bool(lapsing))
         return _news(fields) if kind == NEWS else None
-    except (ValueError, TypeError, AttributeError, IndexError, msgpack.UnpackException):
+    except _UNREADABLE:
         return None
 
 
@@ -143,7 +143,7 @@
         facts=_facts(facts),
         versions={str(table): int(version) for table, version in versions.items()},
         loads=_loads(loads),
-        poison=[(bytes(mark), int(count)) for mark, count in poison],
+        poison=[(_mark(mark), int(count)) for mark, count in poison],
         relayed=[_facts(item) for item in relayed],
         store_lost=bool(store_lost),
         daemons=int(daemons),
@@ -151,6 +151,20 @@
     )
 
 
+def _mark(value: object) -> bytes:
+    # A number would be taken for the length of a field of zeros.
+    if not isinstance(value, bytes):
+        raise TypeError("a mark is not bytes")
+    return value
+
+
+def _row(fields: Any) -> Row:
+    table, key, value, version = fields
+    if value is not None and not isinstance(value, bytes):
+        raise TypeError("a row's value is not bytes")
+    return Row(str(table), str(key), value, int(version))
+
+
 def _facts(item: Any) -> MemberFacts:
     ip, incarnation, counter, state, zone, region = item
     return MemberFacts(str(ip), int(incarnation), int(counter), int(state), str(zone), str(region))
@@ -230,7 +244,7 @@
             )
             writer.write(len(body).to_bytes(4, "big") + body)
             await writer.drain()
-    except (OSError, TimeoutError, ValueError, EOFError, msgpack.UnpackException):
+    except (OSError, TimeoutError, EOFError, *_UNREADABLE):
         pass  # the peer asks again or asks another daemon
     finally:
         writer.close()
@@ -265,7 +279,6 @@
                 whole, complete, lapsing, rows = msgpack.unpackb(await reader.readexactly(size))
             finally:
                 writer.close()
-        decoded = [Row(str(t), str(k), v, int(n)) for t, k, v, n in rows]
-        return bool(whole and complete), bool(lapsing), decoded
-    except (TimeoutError, ValueError, TypeError, EOFError, msgpack.UnpackException) as exc:
+        return bool(whole and complete), bool(lapsing), [_row(row) for row in rows]
+    except (TimeoutError, EOFError, *_UNREADABLE) as exc:
         raise OSError(f"{ip} gave no rows: {exc!r}") from exc
--- a/src/lovageway/forwarding/listeners.py
+++ b/src/lovageway/forwarding/listeners.py
@@ -8,9 +8,6 @@
 from lovageway.forwarding.model import RequestLimits
 from lovageway.forwarding.state import State
 
-BODY_SHARE = 1 / 3  # of the machine's memory for bodies of requests that have not ended
-DEFAULT_MEMORY_MB = 128  # where the settings name no limit
-
 
 class Listener:
     """Connections of one listening address."""
@@ -19,9 +16,6 @@
         self.state = state
         self.name = name
         self.conns: set[ClientConnection] = set()
-        self.held_bytes = 0
-        memory_mb = state.cfg.memory_mb or DEFAULT_MEMORY_MB
-        self._body_room = int(BODY_SHARE * memory_mb * 1e6)
 
     def limits(self) -> RequestLimits:
         """Return the limits in force."""
@@ -34,9 +28,9 @@
 
     def hold_body(self, size: int) -> bool:
         """Count bytes of bodies that are kept, within a part of the daemon's memory."""
-        if size > 0 and self.held_bytes + size > self._body_room:
-            return False
-        self.held_bytes += size
+        if size > 0:
+            return self.state.bodies.take(size)
+        self.state.bodies.give_back(-size)
         return True
 
     def opened(self, conn: ClientConnection) -> None:
--- a/src/lovageway/forwarding/outbound.py
+++ b/src/lovageway/forwarding/outbound.py
@@ -1,4 +1,9 @@
-"""Connections to backend servers and to the store: one request at a time on each."""
+"""Connections to backend servers and to the store: one request at a time on each.
+
+What a server sends is bounded in each of its parts. Beyond a bound the connection is closed at once
+and the answer counts as broken off: the request may have run. Reading pauses while nobody takes the
+parts of an answer.
+"""
 
 import asyncio
 import socket
@@ -16,6 +21,12 @@
 PROBE_COUNT = 3
 DEFAULT_KEEP_S = 4.0  # an idle connection is reused so long if the server names no time
 KEEP_USED = 0.7  # of the time that the server names
+HEAD_MOST = 32 * 1024  # bytes of a head, of trailers or of anything else between parts of a body
+HEADERS_MOST = 200
+INTERIM_MOST = 8  # 1xx heads before an answer
+ANSWER_MOST = 4 << 20  # bytes of the body of an answer that is collected; the store's have 1 MB
+SKIPPED_MOST = 64 * 1024  # bytes of answers to other requests that are read to reach the own one
+UNTAKEN_MOST = 64 * 1024  # bytes of an answer that wait to be taken before reading pauses
 
 HeadDecoder = Callable[[int, str, list[tuple[str, str]]], AnswerHead]
 
@@ -29,22 +40,67 @@
     complete: bool  # with `end`: the whole answer arrived
 
 
-class Exchange:
-    """One request on a connection and the parts of its answer."""
+class BadAnswerError(Exception):
+    """An answer that is not taken; the message names the bound that it exceeds, or the fault."""
 
-    def __init__(self, attempt_id: str | None, *, no_body: bool = False) -> None:
+
+class Exchange:
+    """One request on a connection and the parts of its answer.
+
+    Parameters
+    ----------
+    attempt_id
+        Id that the answer must bear; None for calls without one.
+    body_most
+        Bytes that the body may have; None for a stream, whose events have their own bound.
+    """
+
+    def __init__(
+        self,
+        attempt_id: str | None,
+        *,
+        no_body: bool = False,
+        body_most: int | None = ANSWER_MOST,
+    ) -> None:
         self.attempt_id = attempt_id
         self.no_body = no_body
+        self.body_most = body_most
+        self.fault: str | None = None  # why the answer was not taken
+        self.on_pace: Callable[[bool], None] = lambda paused: None
+        self._received = 0
         self._parts: deque[Part] = deque()
+        self._untaken = 0
+        self._paused = False
         self._waiter: asyncio.Future[None] | None = None
         self.ended = False
 
+    def expect(self, size: int) -> None:
+        """Check the length that a head announces.
+
+        Raises
+        ------
+        BadAnswerError
+            The body will exceed its bound.
+        """
+        if self.body_most is not None and self._received + size > self.body_most:
+            raise BadAnswerError("body")
+
     def put(self, part: Part) -> None:
-        """Add a part; parts after the end are dropped."""
+        """Add a part; parts after the end are dropped.
+
+        Raises
+        ------
+        BadAnswerError
+            The body exceeds its bound.
+        """
         if self.ended:
             return
+        self.expect(len(part.data))
+        self._received += len(part.data)
         self.ended = part.end
         self._parts.append(part)
+        self._untaken += len(part.data)
+        self._set_pace(self._untaken > UNTAKEN_MOST)
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
@@ -53,7 +109,15 @@
         while not self._parts:
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
-        return self._parts.popleft()
+        part = self._parts.popleft()
+        self._untaken -= len(part.data)
+        self._set_pace(self._untaken > UNTAKEN_MOST)
+        return part
+
+    def _set_pace(self, paused: bool) -> None:
+        if paused != self._paused:
+            self._paused = paused
+            self.on_pace(paused)
 
 
 class ServerConnection(asyncio.Protocol):
@@ -71,10 +135,15 @@
         self.idle_since = clock()
         self.keep_s = DEFAULT_KEEP_S
         self.answered = 0
+        self.last_attempt: str | None = None
+        self._between = 0  # bytes since the parser last made something of them
+        self._interim = 0
+        self._skipped = 0
 
     def _reset(self) -> None:
         self._reason = b""
         self._headers: list[tuple[str, str]] = []
+        self._head_size = 0
         self._skipping = False
         self._to_eof = False
         self._in_answer = False
@@ -92,11 +161,17 @@
         if self._exchange is None:
             self.close()
             return
+        self._between += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError:
-            self._broken()
-        except httptools.HttpParserUpgrade:
+            if self._in_answer and self._between > HEAD_MOST:
+                raise BadAnswerError("head")
+        except BadAnswerError as exc:
+            self._broken(str(exc))
+        except httptools.HttpParserCallbackError as exc:
+            cause = exc.__context__
+            self._broken(str(cause) if isinstance(cause, BadAnswerError) else repr(cause))
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._broken()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -112,48 +187,86 @@
     # Parser callbacks.
 
     def on_message_begin(self) -> None:
-        """Begin an answer."""
+        """Begin an answer; one that nobody asked for ends the use of the connection."""
         self._reset()
+        self._between = 0
         self._in_answer = True
+        if self._exchange is None:
+            self.reusable = False
 
     def on_status(self, status: bytes) -> None:
         """Take a part of the reason."""
         self._reason += status
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Take a header."""
+        """Take a header or a trailer."""
+        self._between = 0
+        self._head_size += len(name) + len(value)
+        if self._head_size > HEAD_MOST or len(self._headers) >= HEADERS_MOST:
+            raise BadAnswerError("head")
         self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
         """Decode the head; an answer that belongs to another request is skipped."""
+        self._between = 0
         status = self._parser.get_status_code()
         exchange = self._exchange
-        if status < 200 or exchange is None:
+        if exchange is None:
             self._skipping = True
-            self.reusable = self.reusable and exchange is not None
+            return
+        if status < 200:
+            self._skipping = True
+            self._interim += 1
+            if self._interim > INTERIM_MOST:
+                raise BadAnswerError("interim answers")
             return
         head = self._decode(status, self._reason.decode("latin-1"), self._headers)
         if not self._parser.should_keep_alive():
             self.reusable = False
         if head.keep_alive_s is not None:
             self.keep_s = KEEP_USED * head.keep_alive_s
-        if exchange.attempt_id is not None and head.attempt_id not in (None, exchange.attempt_id):
+        values = {name.lower(): value for name, value in self._headers}
+        length = values.get("content-length", "0")
+        if not self._is_answer_to(exchange, head):
             self._skipping, self.reusable = True, False
+            if int(length) > SKIPPED_MOST:
+                raise BadAnswerError("skipped")
             return
-        names = {name.lower() for name, _ in self._headers}
-        self._to_eof = not names & {"content-length", "transfer-encoding"} and status != 204
+        self._to_eof = not values.keys() & {"content-length", "transfer-encoding"} and status != 204
+        exchange.expect(0 if exchange.no_body else int(length))
         exchange.put(Part(head, b"", False, False))
         if exchange.no_body:
             self.reusable = False
             self._end(complete=True)
 
+    def _is_answer_to(self, exchange: Exchange, head: AnswerHead) -> bool:
+        """Return whether an answer belongs to the request.
+
+        Raises
+        ------
+        BadAnswerError
+            It has no id and is not the first answer on its connection: it may be another copy of
+            an answer that was given before.
+        """
+        if exchange.attempt_id is None or head.attempt_id == exchange.attempt_id:
+            return True
+        if head.attempt_id is None and self.answered > 0:
+            raise BadAnswerError("no id")
+        return head.attempt_id is None
+
     def on_body(self, body: bytes) -> None:
         """Pass on a part of the body."""
-        if self._exchange is not None and not self._skipping:
+        self._between = 0
+        if self._skipping:
+            self._skipped += len(body)
+            if self._skipped > SKIPPED_MOST:
+                raise BadAnswerError("skipped")
+        elif self._exchange is not None:
             self._exchange.put(Part(None, body, False, False))
 
     def on_message_complete(self) -> None:
         """End the answer."""
+        self._between = 0
         self._in_answer = False
         if not self._skipping:
             self._end(complete=True)
@@ -164,6 +277,9 @@
         """Send a request."""
         assert self._exchange is None and self._transport is not None
         self._exchange = exchange
+        self.last_attempt = exchange.attempt_id
+        self._interim = self._skipped = 0
+        exchange.on_pace = self._set_pace
         self._transport.write(data)
 
     def close(self) -> None:
@@ -172,11 +288,27 @@
         if self._transport is not None and not self.closed:
             self._transport.abort()
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether the connection can take a request: nothing of an answer is on it."""
+        return self.reusable and not self.closed and not self._in_answer
+
     def idle_for(self, now: float) -> float:
         """Return for how long the connection has been idle."""
         return now - self.idle_since
 
-    def _broken(self) -> None:
+    def _set_pace(self, paused: bool) -> None:
+        """Pause or resume reading."""
+        if self._transport is None or self.closed or self._transport.is_closing():
+            return
+        if paused:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
+    def _broken(self, fault: str = "not in the protocol") -> None:
+        if self._exchange is not None:
+            self._exchange.fault = fault
         self._end(complete=False)
         self.close()
 
@@ -187,6 +319,8 @@
         if self._transport is not None and self._transport.get_write_buffer_size() > 0:
             self.reusable = False  # the answer came before the server had read the request
         if exchange is not None:
+            exchange.on_pace = lambda paused: None
+            self._set_pace(False)
             exchange.put(Part(None, b"", True, complete))
 
 
@@ -207,13 +341,18 @@
         self._idle: dict[str, list[ServerConnection]] = {}
         self.opened = 0
 
-    async def acquire(self, key: str, address: Address) -> ServerConnection:
+    async def acquire(
+        self, key: str, address: Address, attempt_id: str | None = None
+    ) -> ServerConnection:
         """Return an idle connection or open one.
 
         Parameters
         ----------
         key
             Identity of the server; connections of an earlier server at the address are not used.
+        attempt_id
+            Id of the request. A connection on which it was sent before is not used: a second copy
+            of the earlier answer could not be told from the answer to come.
 
         Raises
         ------
@@ -224,7 +363,8 @@
         now = self._clock()
         while idle:
             conn = idle.pop()
-            if conn.reusable and not conn.closed and conn.idle_for(now) < conn.keep_s:
+            is_used = attempt_id is not None and conn.last_attempt == attempt_id
+            if conn.is_idle and not is_used and conn.idle_for(now) < conn.keep_s:
                 return conn
             conn.close()
         loop = asyncio.get_running_loop()
@@ -240,7 +380,7 @@
 
     def release(self, key: str, conn: ServerConnection) -> None:
         """Keep a connection whose answer was complete, or close it."""
-        if conn.reusable and not conn.closed:
+        if conn.is_idle:
             self._idle.setdefault(key, []).append(conn)
         else:
             conn.close()
--- a/src/lovageway/forwarding/request.py
+++ b/src/lovageway/forwarding/request.py
@@ -9,6 +9,7 @@
 from lovageway.codes import Code
 from lovageway.forwarding import placement
 from lovageway.forwarding.connections import Inbound
+from lovageway.forwarding.memory import Held
 from lovageway.forwarding.model import Account, Repeat, RequestHead, Route, Service
 from lovageway.forwarding.pace import Pace
 from lovageway.forwarding.placement import Work
@@ -63,6 +64,7 @@
         self.servers: list[str] = []
         self.ends: list[str] = []  # how each attempt ended
         self.pace: Pace | None = None  # of a stream's events
+        self.answer = Held(state.answers)  # the memory of an answer that is collected
         self.regions = _both(route.regions, account.regions if account else frozenset())
         self.tokens = placement.need(head.generation) if service.engine is not None else 0
 
--- a/src/lovageway/forwarding/state.py
+++ b/src/lovageway/forwarding/state.py
@@ -6,12 +6,13 @@
 from random import Random
 from typing import Any, Protocol
 
-from lovageway.forwarding import placement
+from lovageway.forwarding import memory, placement
 from lovageway.forwarding.carrying import LeavingRun, Turns
 from lovageway.forwarding.eventlog import EventLog
 from lovageway.forwarding.lifecycle import Lifecycle
 from lovageway.forwarding.load import Load, LoadBook
 from lovageway.forwarding.members import STARTING, MemberFacts, Members
+from lovageway.forwarding.memory import Budget
 from lovageway.forwarding.mirror import Mirror
 from lovageway.forwarding.model import DaemonSettings, RoutingConfig, Service
 from lovageway.forwarding.outbound import Pool
@@ -54,6 +55,8 @@
         self.move_done: Callable[[str, str], None] = self.turns.on_done
         self.load_added: Callable[[dict[str, Load], str], None] = lambda loads, region: None
         self.waiting: WaitingRoom[Entry] = WaitingRoom()
+        self.bodies = Budget(memory.room(cfg.memory_mb, memory.BODY_SHARE))
+        self.answers = Budget(memory.room(cfg.memory_mb, memory.ANSWER_SHARE))
         self.pool = Pool(heads.answer, clock)
         self.routes: RouteTable | None = None
         self.configured = asyncio.Event()
--- a/src/lovageway/forwarding/streams.py
+++ b/src/lovageway/forwarding/streams.py
@@ -18,17 +18,20 @@
     sent,
 )
 from lovageway.forwarding.connections import ClientConnection, Inbound
-from lovageway.forwarding.events import EventSplitter
+from lovageway.forwarding.events import EventSplitter, EventTooLargeError
 from lovageway.forwarding.load import Load
 from lovageway.forwarding.model import AnswerHead
 from lovageway.forwarding.moves import Handover, Mover
-from lovageway.forwarding.outbound import Exchange
+from lovageway.forwarding.outbound import ANSWER_MOST, Exchange
 from lovageway.forwarding.pace import Pace
 from lovageway.forwarding.placement import expected_output
 from lovageway.forwarding.replicas import Entry
 from lovageway.forwarding.request import MARGIN_S, Refusal, Request, place
 
-STALL_S = 4.0  # a stream that is silent for so long is resumed elsewhere if it can be
+# A client gives a stream up after the longest of these times without an event (PROTOCOL, Requests).
+STALL_LEAST_S = 2.0
+STALL_TARGETS = 4.0  # times the route's target for the first event
+STALL_PAUSES = 8.0  # times the longest pause that the route allows
 HANDOVER_WAIT_S = 3.0  # for the outcome of a move after the stream has ended
 
 
@@ -146,7 +149,7 @@
         to = self.backup.replica.address if self.backup is not None else None
         sending = Sending(last_event, copy, to)
         try:
-            async with sent(request, entry, sending, counted=counted) as exchange:
+            async with sent(request, entry, sending, counted=counted, body_most=None) as exchange:
                 return await self._pass_on(exchange, entry)
         except NotSentError:
             return Attempt(Outcome.NOT_SENT, None, b"")
@@ -231,8 +234,10 @@
         splitter = EventSplitter()
         head: AnswerHead | None = None
         body = bytearray()
+        self.request.answer.release()
+        until = state.clock() + self._patience_s()
         while True:
-            part = await next_part(exchange, self._patience_s())
+            part = await next_part(exchange, until - state.clock())
             if part is None:
                 entry.on_failure(state.clock())
                 return Attempt(Outcome.SILENT, head, b"")
@@ -244,17 +249,34 @@
                 continue
             if head.status != 200 or not genuine(head):
                 body += part.data
+                if len(body) > ANSWER_MOST or not self.request.answer.take(len(part.data)):
+                    exchange.fault = "body"
+                    return self._ended(entry, head, b"", splitter, False)
                 continue
             self._has_read(entry)
-            for event in splitter.feed(part.data):
+            try:
+                events = splitter.feed(part.data)
+            except EventTooLargeError:
+                exchange.fault = "event"
+                return self._ended(entry, head, b"", splitter, False)
+            for event in events:
                 self._event(head, event.data, event.id)
             await self.conn.drained()
+            if events:
+                until = state.clock() + self._patience_s()
 
     def _patience_s(self) -> float:
-        """Return for how long the next part is awaited: less where the stream can go on."""
+        """Return for how long the next whole event is awaited.
+
+        A stream without one for longer than its client waits has nobody who reads it. Before the
+        first event, the daemon leaves it to the client to give up.
+        """
         left = self.request.left_s() - MARGIN_S
-        resumable = self.backup is not None or self.request.route.resumable
-        return min(left, STALL_S) if self.started and resumable else left
+        if not self.started:
+            return left
+        route = self.request.route
+        stall = max(STALL_LEAST_S, STALL_TARGETS * route.target_s, STALL_PAUSES * route.gap_s)
+        return min(left, stall)
 
     def _event(self, head: AnswerHead, data: bytes, event_id: int | None) -> None:
         """Pass one event on unless the client has it."""
--- a/src/lovageway/platform/engines.py
+++ b/src/lovageway/platform/engines.py
@@ -26,7 +26,7 @@
         handle = fields.get("kv_handle")
         # `created` counts the events that were generated so far, not a time.
         made = int(fields.get("created") or 0)
-    except (ValueError, AttributeError, TypeError):
+    except (ValueError, AttributeError, TypeError, OverflowError, RecursionError):
         return MoveResult(status, None, 0)
     return MoveResult(status, None if handle is None else str(handle), made)
 
--- a/src/lovageway/platform/records.py
+++ b/src/lovageway/platform/records.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Mapping
+from math import inf
 from typing import Any
 
 from lovageway.forwarding.model import (
@@ -23,6 +24,8 @@
     "non_idempotent": Repeat.ONCE,
     "streaming": Repeat.STREAM,
 }
+# Nested values exhaust the decoder's depth; numbers may be infinite.
+_UNREADABLE = (KeyError, TypeError, ValueError, AttributeError, OverflowError, RecursionError)
 STATES = {"ready": False, "draining": True}  # whether the server is leaving
 
 
@@ -65,7 +68,7 @@
             has_accounts=bool(tenants),
             limits=_limits(fields.get("limits") or {}),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+    except _UNREADABLE as exc:
         raise UnreadableRowError(f"{row.table}/{row.key}: {exc!r}") from exc
 
 
@@ -146,10 +149,14 @@
         fields = json.loads(row.value or b"")
         zone, service, state = fields["zone"], fields["service"], fields["state"]
         slots, cold_ms, born = fields["slots"], fields["cold_remaining_ms"], fields.get("born", 0)
+        if any(isinstance(value, bool) for value in (slots, cold_ms, born)):
+            raise UnreadableRowError(f"{row.table}/{row.key}: a number is of another type")
+        if not isinstance(born, int) or not 0 <= cold_ms < inf:
+            raise UnreadableRowError(f"{row.table}/{row.key}: times are not whole or not finite")
         texts = (zone, service, state, fields["address"])
         if not all(isinstance(text, str) for text in texts) or state not in STATES:
             raise UnreadableRowError(f"{row.table}/{row.key}: field of another type or state")
-        if isinstance(slots, bool) or not isinstance(slots, int) or slots < 1:
+        if not isinstance(slots, int) or slots < 1:
             raise UnreadableRowError(f"{row.table}/{row.key}: slots is not a positive number")
         return Replica(
             id=row.key,
@@ -162,5 +169,5 @@
             cold_s=float(cold_ms) * MS,
             born_ms=int(born),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+    except _UNREADABLE as exc:
         raise UnreadableRowError(f"{row.table}/{row.key}: {exc!r}") from exc
--- a/src/lovageway/platform/store.py
+++ b/src/lovageway/platform/store.py
@@ -54,7 +54,7 @@
         fields = json.loads(body)
         rows = tuple(_row(item) for item in fields["rows"])
         return Page(rows, int(fields["row_version"]), bool(fields.get("has_more")))
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError, RecursionError) as exc:
         raise UnreadableAnswerError(repr(exc)) from exc
 
 
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -12,11 +12,32 @@
 SIGNATURE = ("Replica-Signature", "3e1b.07")
 
 
+GOOD_HEAD = b"HTTP/1.1 200 OK\r\nAttempt-Id: %b\r\nReplica-Signature: 3e1b.07\r\n"
+CHUNKED = GOOD_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+OTHER = b"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nReplica-Signature: 3e1b.07\r\n"
+KIB = b"x" * 1024
+# What a server in trouble begins with, and what it repeats until its caller closes.
+ENDLESS = {
+    "endless_headers": (GOOD_HEAD, b"X-Pad: y\r\n" * 100),
+    "endless_header": (GOOD_HEAD + b"X-Pad: ", KIB),
+    "endless_reason": (b"HTTP/1.1 200 ", KIB),
+    "endless_interim": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 30),
+    "endless_length": (GOOD_HEAD + b"Content-Length: 999999999999\r\n\r\n", KIB),
+    "endless_chunks": (CHUNKED, b"400\r\n" + KIB + b"\r\n"),
+    "endless_extension": (CHUNKED + b"5;", KIB),
+    "endless_trailer": (CHUNKED + b"5\r\nhello\r\n0\r\n", b"X-Pad: y\r\n" * 100),
+    "endless_without_length": (GOOD_HEAD + b"\r\n", KIB),
+    "endless_other": (OTHER + b"Transfer-Encoding: chunked\r\n\r\n", b"400\r\n" + KIB + b"\r\n"),
+    "endless_others": (b"", OTHER + b"Content-Length: 1024\r\n\r\n" + KIB),
+}
+
+
 class Replica(Listener):
     """A plain service.
 
     Behaviours: ok, fail (500), shed (503, not run), busy (503 without the mark), unsigned, coded,
-    cut, garbage, no_length, extra, late_other, early, hang, reset, hold (until `released`).
+    cut, garbage, no_length, extra, late_other, early, hang, reset, hold (until `released`), and
+    those of ENDLESS, which send until the caller closes, `endless_most` bytes at most.
     """
 
     service = "svc"
@@ -32,6 +53,8 @@
         self.left = []
         self.released = asyncio.Event()
         self.body = b"the server's bytes"
+        self.endless_most = 32 << 20
+        self.endless_sent = 0  # bytes that the caller, or the network, took
 
     def entry(self, **fields):
         """Return the entry that the server writes to the store."""
@@ -64,6 +87,9 @@
     async def run(self, asked, attempt, writer):
         headers = [("Attempt-Id", attempt), SIGNATURE, ("Replica-Load", "1,0,8")]
         good = answer(200, self.body, headers)
+        if self.behaviour in ENDLESS:
+            await self.send_without_end(*ENDLESS[self.behaviour], attempt, writer)
+            return False
         match self.behaviour:
             case "hang":
                 await asyncio.Event().wait()
@@ -99,6 +125,18 @@
                 writer.write(good)
         return self.behaviour != "reset"
 
+    async def send_without_end(self, begin, repeated, attempt, writer):
+        """Send until the caller closes."""
+        writer.write(begin.replace(b"%b", attempt.encode()))
+        block = repeated * (1 + 65536 // len(repeated))
+        try:
+            while self.endless_sent < self.endless_most:
+                writer.write(block)
+                await writer.drain()
+                self.endless_sent += len(block)
+        except ConnectionError:
+            self.left.append(attempt)
+
 
 class Engine(Replica):
     """A model engine: streams `events` events; `made` by generation survives a move.
@@ -157,6 +195,10 @@
         return True
 
     async def run(self, asked, attempt, writer):
+        if self.behaviour == "endless_event":
+            begin = CHUNKED + b"c\r\nid: 1\ndata: \r\n"
+            await self.send_without_end(begin, b"400\r\n" + KIB + b"\r\n", attempt, writer)
+            return False
         if self.behaviour not in ("ok", "hold"):
             return await super().run(asked, attempt, writer)
         source = asked.headers.get("kv-from")
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -161,3 +161,32 @@
         self.assertEqual(self.handler.room, 9_980)
         self.conn.connection_lost(None)
         self.assertEqual(self.handler.room, 10_000)
+
+    async def test_what_a_chunked_body_adds_is_bounded(self):
+        # Guards against memory and work without bound for a client that never ends its request.
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        endless = {
+            "extension": (b"5;", b"x" * 100),
+            "trailer": (b"1\r\nx\r\n0\r\nX-Pad: ", b"x" * 100),
+            "trailers": (b"1\r\nx\r\n0\r\n", b"X-Pad: y\r\n" * 10),
+        }
+        for kind, (begin, repeated) in endless.items():
+            with self.subTest(kind=kind):
+                self.connect()
+                self.conn.data_received(head + begin)
+                for _ in range(LIMITS.header_bytes // len(repeated) + 2):
+                    self.conn.data_received(repeated)
+                self.assertRegex(self.transport.written, rb"^HTTP/1.1 4(00|31) ")
+                self.assertEqual(self.handler.requests, [])
+
+    async def test_a_body_that_comes_byte_by_byte_is_refused(self):
+        # Guards against clients that hold memory and connections for as long as they like.
+        self.connect()
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 900\r\n\r\n"
+        self.conn.data_received(head)
+        for _ in range(40):
+            self.now += LIMITS.header_timeout_s / 10
+            self.conn.data_received(b"x")
+            self.conn.check(self.now, close_idle=False)
+        self.assertIn(b" 408 ", self.transport.written)
+        self.assertEqual(self.handler.room, 10_000)
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import msgpack
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -49,3 +50,25 @@
     def test_any_bytes_are_decoded_or_dropped(self, data):
         # Fuzzing: no datagram may end the daemon.
         gossip.decode(data)
+
+    def test_fields_of_another_type_are_dropped_and_cost_no_memory(self):
+        # Guards against a mark that is a number and would be taken for a length of gigabytes, and
+        # against numbers that no count can be.
+        news = list(gossip.News(FACTS, {}, {}, [], [], False))
+        wrong = (
+            (3, [[10**12, 1]]),
+            (3, [["text", 1]]),
+            (2, {"i-1": [float("inf"), 1]}),
+            (2, {"i-1": [1, 2, 3, 4, 5]}),
+            (1, [["op", 1]]),
+            (0, [[1], 2, 3, 4, 5]),
+            (7, float("nan")),
+            (8, [["r", float("inf"), {}]]),
+        )
+        for place, value in wrong:
+            with self.subTest(place=place, value=value):
+                fields = [*news[:place], value, *news[place + 1 :]]
+                self.assertIsNone(gossip.decode(msgpack.packb([gossip.NEWS, *fields])))
+        row = msgpack.packb([gossip.ROWS, "op", 1, [["op", "config", 10**12, 2]], False])
+        self.assertIsNone(gossip.decode(row))
+        self.assertIsNone(gossip.decode(b"\x91" * 5000))
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -9,6 +9,7 @@
 import yaml
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from standins.replica import Replica
 
 from lovageway.forwarding.model import Address, Repeat, Row
 from lovageway.platform import engines, heads, names, records, store
@@ -54,6 +55,18 @@
         del fields["bounds"], fields["limits"]
         self.assertTrue(self.load(fields).is_ok())
 
+    def test_json_and_yaml_say_the_same(self):
+        # Guards against a deploy file whose settings only one of the two forms can be read from.
+        path = Path(self.enterContext(tempfile.TemporaryDirectory())) / "settings"
+        found = []
+        for text in (json.dumps(SETTINGS), yaml.safe_dump(SETTINGS)):
+            path.write_text(text)
+            found.append(platform_settings.load(path).ok)
+        self.assertEqual(*found)
+        for text in ("[]", "3", "{", "a: [", ""):
+            path.write_text(text)
+            self.assertTrue(platform_settings.load(path).is_error(), text)
+
     def test_a_problem_names_the_field(self):
         # Guards against errors that do not tell the operator what to change.
         fields = dict(SETTINGS)
@@ -112,6 +125,22 @@
             except records.UnreadableRowError:
                 continue
 
+    def test_numbers_that_are_none_and_values_nested_without_end_are_refused(self):
+        # Guards against a server that stays cold for ever, and against rows that end the daemon.
+        entry = Replica().entry()
+        wrong = [
+            {**entry, "cold_remaining_ms": value}
+            for value in (float("nan"), float("inf"), -1, True, "5")
+        ]
+        wrong += [{**entry, "born": value} for value in (1.5, True, "1", None)]
+        values = [json.dumps(fields).encode() for fields in wrong]
+        for value in (*values, b"[" * 100_000, b'{"a":' * 100_000):
+            with self.subTest(value=value[:60]), self.assertRaises(records.UnreadableRowError):
+                records.replica(self.row(value), {})
+        for value in (b"[" * 100_000, json.dumps(config(float("inf"))).encode()):
+            with self.subTest(value=value[:60]), self.assertRaises(records.UnreadableRowError):
+                records.config(self.row(value))
+
 
 class Store(unittest.TestCase):
     def test_rows_are_decoded_and_unreadable_values_are_empty(self):
@@ -126,8 +155,9 @@
         self.assertEqual((page.version, page.has_more), (9, False))
 
     def test_an_answer_of_another_form_is_an_error(self):
-        for body in (b"", b"[]", b'{"rows": [1], "row_version": 1}', b'{"rows": []}'):
-            with self.subTest(body=body), self.assertRaises(store.UnreadableAnswerError):
+        endless = (b"[" * 100_000, b'{"rows": [], "row_version": 1e999}')
+        for body in (b"", b"[]", b'{"rows": [1], "row_version": 1}', b'{"rows": []}', *endless):
+            with self.subTest(body=body[:60]), self.assertRaises(store.UnreadableAnswerError):
                 store.page(body)
 
 
@@ -182,8 +212,8 @@
 
 class Moves(unittest.TestCase):
     def test_an_unreadable_answer_has_no_handle(self):
-        for body in (b"", b"[]", b"\xff", b'{"kv_handle": null}'):
-            with self.subTest(body=body):
+        for body in (b"", b"[]", b"\xff", b'{"kv_handle": null}', b"[" * 100_000):
+            with self.subTest(body=body[:60]):
                 self.assertIsNone(engines.move_result(200, body).handle)
         found = engines.move_result(200, b'{"kv_handle": "h", "created": 7}')
         self.assertEqual((found.handle, found.events_made), ("h", 7))
