Name the field of a setting that is wrong, and announce a daemon only where its row is missing

Cause: a setting of another type ended the start with Python's own error text ('could not convert string to float'), which names no field; NaN, negative numbers and swapped ports were taken. Change: fields are read through one class that names them; the table of daemons is read first and written if the own row is missing. Tests: tests.test_platform_formats.Settings, each wrong field by its name; zero bounds, no zones and no seeds are settings.

--- a/src/lovageway/forwarding/peers.py
+++ b/src/lovageway/forwarding/peers.py
@@ -168,13 +168,14 @@
         written, failing = False, False
         while True:
             try:
-                if not written:
-                    await self._client.put(MEMBERS_TABLE, self._state.cfg.ip, b"")
-                    written = True
                 page = await self._client.read(MEMBERS_TABLE)
                 for row in page.rows:
                     self._state.members.add_contact(row.key)
                 self._state.members.on_listed()
+                written = written or any(row.key == self._state.cfg.ip for row in page.rows)
+                if not written:
+                    await self._client.put(MEMBERS_TABLE, self._state.cfg.ip, b"")
+                    written = True
                 failing = False
             except (StoreError, ValueError) as exc:
                 if not failing:
--- a/src/lovageway/platform/settings.py
+++ b/src/lovageway/platform/settings.py
@@ -2,9 +2,10 @@
 
 import json
 import os
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
+from math import inf
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
 
 from expression import Error, Ok, Result
 
@@ -36,9 +37,7 @@
     """
     try:
         return Ok(_decode(_parse(path.read_text())))
-    except KeyError as exc:
-        return Error(f"{path}: add the field {exc.args[0]!r}")
-    except (OSError, TypeError, ValueError, AttributeError) as exc:
+    except (OSError, ValueError, RecursionError) as exc:
         return Error(f"{path}: {exc}")
 
 
@@ -55,56 +54,127 @@
             fields = yaml.load(text, Loader=loader)
         except yaml.YAMLError as exc:
             raise ValueError(str(exc)) from exc
-    if not isinstance(fields, dict):
-        raise ValueError("write the settings as one table of fields")
-    return fields
+    return cast(Mapping[str, Any], fields)
 
 
-def _decode(fields: Mapping[str, Any]) -> DaemonSettings:
-    listen = fields["listen"]
-    first, last = fields["internal_port_range"]
-    zone = str(fields["zone"])
-    zones = {str(name): str(region) for name, region in (fields.get("zones") or {}).items()}
-    control = listen.get("control_plane")
+class _Fields:
+    """Fields of one table; what has another type is an error that names the field."""
+
+    def __init__(self, fields: object, name: str = "") -> None:
+        if not isinstance(fields, Mapping):
+            raise ValueError(f"{name or 'the settings'}: write a table of fields")
+        self._fields = fields
+        self._name = name
+
+    def path(self, name: str) -> str:
+        """Return the name of a field with those of the tables around it."""
+        return f"{self._name}.{name}" if self._name else name
+
+    def get(self, name: str) -> object:
+        """Return a field, or None."""
+        return self._fields.get(name)
+
+    def table(self, name: str, *, needed: bool = False) -> "_Fields":
+        """Return a table; an empty one if it may be missing."""
+        found = self._needed(name) if needed else self._fields.get(name) or {}
+        return _Fields(found, self.path(name))
+
+    def text(self, name: str) -> str:
+        """Return a text that must not be empty."""
+        value = self._needed(name)
+        if not isinstance(value, str) or not value:
+            raise ValueError(f"{self.path(name)}: write a text, not {value!r}")
+        return value
+
+    def address(self, name: str) -> Address:
+        """Return an address."""
+        try:
+            return address(self.text(name))
+        except ValueError as exc:
+            raise ValueError(f"{self.path(name)}: write IP:PORT") from exc
+
+    def number(self, name: str, default: float) -> float:
+        """Return a number of 0 or more."""
+        value = self._fields.get(name)
+        if value is None:
+            return default
+        if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value < inf:
+            raise ValueError(f"{self.path(name)}: write a number of 0 or more, not {value!r}")
+        return float(value)
+
+    def _needed(self, name: str) -> object:
+        value = self._fields.get(name)
+        if value is None:
+            raise ValueError(f"add the field {self.path(name)!r}")
+        return value
+
+
+def _decode(raw: Mapping[str, Any]) -> DaemonSettings:
+    fields = _Fields(raw)
+    listen, limits = fields.table("listen", needed=True), fields.table("limits")
+    zone = fields.text("zone")
+    zones = _regions(fields.get("zones"))
+    ip = fields.text("ip")
     return DaemonSettings(
-        name=str(fields["node_name"]),
-        ip=str(fields["ip"]),
+        name=fields.text("node_name"),
+        ip=ip,
         zone=zone,
         region=str(fields.get("region") or zones.get(zone, zone)),
         regions_of_zones=zones,
-        listen=address(listen["frontend"]),
-        ready_listen=address(listen["ready"]),
-        control_listen=address(control) if control else None,
-        directory_listen=address(listen["directory_service"]),
-        metrics_listen=Address(str(fields["ip"]), names.METRICS_PORT),
-        internal_ports=(int(first), int(last)),
-        seeds=tuple(address(seed).host for seed in fields.get("seed_nodes") or ()),
-        memory_mb=int(fields.get("limits", {}).get("memory_mb") or 0),
-        open_files=int(fields.get("limits", {}).get("file_descriptors") or 0),
-        heartbeat_s=float(fields.get("heartbeat_interval_ms") or 1200) * MS,
-        bounds=_bounds(fields.get("bounds") or {}),
-        store=_store(fields["platform"]),
+        listen=listen.address("frontend"),
+        ready_listen=listen.address("ready"),
+        control_listen=listen.address("control_plane") if listen.get("control_plane") else None,
+        directory_listen=listen.address("directory_service"),
+        metrics_listen=Address(ip, names.METRICS_PORT),
+        internal_ports=_ports(fields.get("internal_port_range")),
+        seeds=_seeds(fields.get("seed_nodes") or ()),
+        memory_mb=int(limits.number("memory_mb", 0)),
+        open_files=int(limits.number("file_descriptors", 0)),
+        heartbeat_s=fields.number("heartbeat_interval_ms", 1200) * MS,
+        bounds=_bounds(fields.table("bounds")),
+        store=_store(fields.table("platform", needed=True)),
     )
 
 
-def _bounds(fields: Mapping[str, Any]) -> Bounds:
+def _regions(zones: object) -> dict[str, str]:
+    if not isinstance(zones, Mapping | None):
+        raise ValueError("zones: write a table of the region of each zone")
+    return {str(name): str(region) for name, region in (zones or {}).items()}
+
+
+def _ports(value: object) -> tuple[int, int]:
+    match value:
+        case [int(first), int(last)] if 0 < first <= last < 65536:
+            return first, last
+    raise ValueError("internal_port_range: write the first and the last port")
+
+
+def _seeds(value: object) -> tuple[str, ...]:
+    try:
+        assert isinstance(value, Sequence) and not isinstance(value, str)
+        return tuple(address(seed).host for seed in value)
+    except (AssertionError, AttributeError, ValueError) as exc:
+        raise ValueError("seed_nodes: write a list of IP:PORT") from exc
+
+
+def _bounds(fields: _Fields) -> Bounds:
     return Bounds(
-        drain_s=float(fields.get("drain_ms", 2500)) * MS,
-        grace_s=float(fields.get("grace_period_s", 8)),
-        contact_s=float(fields.get("contact_ms", 3000)) * MS,
-        config_apply_s=float(fields.get("config_apply_ms", 2500)) * MS,
-        retry_ratio=float(fields.get("retry_budget_ratio", 0.2)),
-        retry_window_s=float(fields.get("budget_window_s", 10)),
-        retry_extra=float(fields.get("retry_budget_extra", 0)),
-        cold_overshoot=float(fields.get("cold_overshoot", 1.0)),
-        cold_tolerance=float(fields.get("cold_tolerance", 0)),
-        directory_ttl_max_s=float(fields.get("ttl_max_s", 5)),
+        drain_s=fields.number("drain_ms", 2500) * MS,
+        grace_s=fields.number("grace_period_s", 8),
+        contact_s=fields.number("contact_ms", 3000) * MS,
+        config_apply_s=fields.number("config_apply_ms", 2500) * MS,
+        retry_ratio=fields.number("retry_budget_ratio", 0.2),
+        retry_window_s=fields.number("budget_window_s", 10),
+        retry_extra=fields.number("retry_budget_extra", 0),
+        cold_overshoot=fields.number("cold_overshoot", 1.0),
+        cold_tolerance=fields.number("cold_tolerance", 0),
+        directory_ttl_max_s=fields.number("ttl_max_s", 5),
     )
 
 
-def _store(fields: Mapping[str, Any]) -> StoreLimits:
+def _store(fields: _Fields) -> StoreLimits:
     return StoreLimits(
-        address=address(fields["address"]),
-        writes_per_s=float(fields.get("writes_per_s", 100)),
-        reads_per_s=float(fields.get("reads_per_s", 100)),
+        address=fields.address("address"),
+        writes_per_s=fields.number("writes_per_s", 100),
+        reads_per_s=fields.number("reads_per_s", 100),
     )
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -55,6 +55,43 @@
         del fields["bounds"], fields["limits"]
         self.assertTrue(self.load(fields).is_ok())
 
+    def test_a_field_of_another_type_is_named(self):
+        # Guards against a crash loop whose log does not say what to change.
+        wrong = (
+            ("zone", 7),
+            ("ip", ""),
+            ("listen.frontend", "10.1.0.19"),
+            ("listen.ready", None),
+            ("internal_port_range", [7200]),
+            ("internal_port_range", [7215, 7200]),
+            ("seed_nodes", "10.1.0.19:8748"),
+            ("seed_nodes", [8748]),
+            ("zones", ["z1"]),
+            ("bounds", 3),
+            ("bounds.drain_ms", "soon"),
+            ("bounds.cold_overshoot", -1),
+            ("bounds.grace_period_s", float("nan")),
+            ("limits.memory_mb", True),
+            ("platform.address", "nowhere"),
+            ("platform", None),
+        )
+        path = Path(self.enterContext(tempfile.TemporaryDirectory())) / "settings"
+        for name, value in wrong:
+            table, _, field = name.rpartition(".")
+            changed = {**SETTINGS.get(table, {}), field: value} if table else value
+            path.write_text(json.dumps({**SETTINGS, table or name: changed}))
+            with self.subTest(name=name, value=value):
+                self.assertIn(name, platform_settings.load(path).error)
+
+    def test_zero_bounds_no_zones_and_no_seeds_are_settings(self):
+        # Guards against a daemon that does not start since a bound is switched off.
+        fields = {**SETTINGS, "zones": {}, "seed_nodes": [], "bounds": {"drain_ms": 0}}
+        path = Path(self.enterContext(tempfile.TemporaryDirectory())) / "settings"
+        path.write_text(json.dumps(fields))
+        found = platform_settings.load(path).ok
+        self.assertEqual((found.bounds.drain_s, found.seeds), (0.0, ()))
+        self.assertEqual((found.region, found.regions_of_zones), ("r1", {}))
+
     def test_json_and_yaml_say_the_same(self):
         # Guards against a deploy file whose settings only one of the two forms can be read from.
         path = Path(self.enterContext(tempfile.TemporaryDirectory())) / "settings"
