Let the soak's servers send without end and second copies, and watch the daemons' memory

The soak's servers also play the endless answers and the second copies of tests.test_server_faults; a peak of a daemon above 64 MB breaks a promise, and the log lines of requests that broke one are printed.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,7 +20,8 @@
         result = asyncio.run(run(seed, options.seconds))
         print(
             f"seed {seed}: {result.requests} requests, {result.answered} answered, "
-            f"{len(result.faults)} faults, {len(result.broken)} promises broken",
+            f"{len(result.faults)} faults, {len(result.broken)} promises broken, "
+            f"peak {result.peak_mb:.0f} MB",
             flush=True,
         )
         for line in result.broken:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,14 +5,16 @@
 import time
 from typing import NamedTuple
 
+from standins.replica import ENDLESS
+
 from soak.servers import EngineServer, PlainServer
 from soak.world import GRACE_S
 
 BEHAVIOURS = ("fail", "shed", "busy", "unsigned", "coded", "cut", "garbage", "hang", "reset")
-PLAIN_BEHAVIOURS = ("no_length", "extra", "late_other")  # of whole bodies, which streams lack
+PLAIN_BEHAVIOURS = ("no_length", "extra", "late_other", "late_copy")  # of whole bodies
 STORE_MODES = ("busy", "many", "reset", "silent")
 LINK_MODES = ("cut", "freeze", "lose_answers")
-MISBEHAVE_WEIGHT = 5  # there are twelve ways to misbehave
+MISBEHAVE_WEIGHT = 8  # there are two dozen ways to misbehave
 DRAIN_S = 1.5  # a server serves so long after it announced its leaving
 RESTART_S = 0.4
 
@@ -155,7 +157,8 @@
     async def _misbehave(self):
         server = self.rng.choice(self.world.servers)
         plain = isinstance(server, PlainServer)
-        behaviour = self.rng.choice(BEHAVIOURS + PLAIN_BEHAVIOURS if plain else BEHAVIOURS)
+        known = (*BEHAVIOURS, *ENDLESS)
+        behaviour = self.rng.choice((*known, *PLAIN_BEHAVIOURS) if plain else known)
 
         def set_behaviour(value):
             server.behaviour = value
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,6 +14,7 @@
 SETTLE_S = 5.0  # after the last fault: a poll that hears nothing ends, suspensions of servers too
 IN_FORCE_S = 2.5  # for a configuration, a leaving server and an evacuation
 CALM_REQUESTS = 24
+PEAK_MOST_MB = 64.0  # of a daemon, whatever its servers send
 
 
 class Result(NamedTuple):
@@ -24,6 +25,7 @@
     answered: int
     faults: list
     broken: list
+    peak_mb: float  # of any daemon
 
 
 async def run(seed, seconds):
@@ -44,8 +46,12 @@
         broken += check(seen, [*world.servers, *world.gone], faults)
         for daemon in world.daemons:
             broken += [f"{daemon.name}: ended by itself with {code}" for code in daemon.own_ends]
+            if daemon.peak_mb > PEAK_MOST_MB:
+                broken.append(f"{daemon.name}: peak memory of {daemon.peak_mb:.0f} MB")
+        broken += _log_lines(world, broken)
         answered = sum(item.status == 200 and item.complete for item in seen)
-        return Result(seed, len(seen), answered, faults.done, broken)
+        peak_mb = max(daemon.peak_mb for daemon in world.daemons)
+        return Result(seed, len(seen), answered, faults.done, broken, peak_mb)
     finally:
         watch.cancel()
         for task in tasks:
@@ -53,6 +59,17 @@
         await world.stop()
 
 
+def _log_lines(world, broken):
+    """Return what the daemons logged of the requests that broke a promise."""
+    ids = {line.partition(":")[0] for line in broken}
+    return [
+        f"  {daemon.name} {line}"
+        for daemon in world.daemons
+        for line in daemon.log.read_text(errors="replace").splitlines()
+        if any(f'"{attempt}"' in line for attempt in ids)
+    ]
+
+
 async def _watch(world):
     while True:
         for daemon in world.daemons:
--- a/soak/world.py
+++ b/soak/world.py
@@ -1,8 +1,10 @@
 """What a soak runs: a store, servers and daemons, each daemon a process of its own."""
 
 import asyncio
+import contextlib
 import json
 import os
+import re
 import signal
 import subprocess
 import sys
@@ -22,6 +24,7 @@
 GRACE_S = 4.0
 BOUNDS = {"drain_ms": 1500, "grace_period_s": GRACE_S, "contact_ms": 2000, "ttl_max_s": 2}
 READY_S = 20.0  # for a daemon to listen, on a busy machine
+_PEAK = re.compile(r"VmHWM:\s+(\d+) kB")
 LIMITS = {"max_header_bytes": 4096, "max_body_bytes": 100000}
 
 
@@ -74,6 +77,7 @@
         self.process = None
         self.expected_end = False  # a signal of the soak ends it
         self.own_ends = []  # exit codes of processes that ended by themselves
+        self.peak_mb = 0.0
 
     def start(self):
         """Start the process."""
@@ -86,7 +90,10 @@
         self.expected_end = False
 
     def check(self):
-        """Note a process that ended by itself, and start it again."""
+        """Note the memory of the process; note one that ended by itself, and start it again."""
+        with contextlib.suppress(OSError):
+            found = _PEAK.search(Path(f"/proc/{self.process.pid}/status").read_text())
+            self.peak_mb = max(self.peak_mb, int(found.group(1)) / 1000 if found else 0.0)
         if self.process.poll() is not None and not self.expected_end:
             self.own_ends.append(self.process.returncode)
             self.start()
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -69,15 +69,15 @@
         if headers.get("transfer-encoding") != "chunked":
             body = await self.reader.readexactly(int(headers.get("content-length", 0)))
             return Reply(status, headers, body, True)
-        body = b""
+        parts = []
         while True:
             try:
                 size = int(await self.reader.readuntil(b"\r\n"), 16)
-                body += (await self.reader.readexactly(size + 2))[:-2]
+                parts.append((await self.reader.readexactly(size + 2))[:-2])
             except (asyncio.IncompleteReadError, ConnectionError, ValueError):
-                return Reply(status, headers, body, False)
+                return Reply(status, headers, b"".join(parts), False)
             if size == 0:
-                return Reply(status, headers, body, True)
+                return Reply(status, headers, b"".join(parts), True)
 
     async def closed(self):
         """Wait until the daemon closes the connection; return what came before."""
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -36,8 +36,8 @@
     """A plain service.
 
     Behaviours: ok, fail (500), shed (503, not run), busy (503 without the mark), unsigned, coded,
-    cut, garbage, no_length, extra, late_other, early, hang, reset, hold (until `released`), and
-    those of ENDLESS, which send until the caller closes, `endless_most` bytes at most.
+    cut, garbage, no_length, extra, late_other, late_copy, early, hang, reset, hold (until
+    `released`), and those of ENDLESS, which send until the caller closes, or `endless_most` bytes.
     """
 
     service = "svc"
@@ -121,12 +121,15 @@
             case "late_other":
                 other = answer(200, b"another's", [("Attempt-Id", "other"), SIGNATURE])
                 writer.write(other + good)
+            case "late_copy":
+                writer.write(answer(200, b"another's", [SIGNATURE]) + good)
             case _:
                 writer.write(good)
         return self.behaviour != "reset"
 
     async def send_without_end(self, begin, repeated, attempt, writer):
         """Send until the caller closes."""
+        self.endless_sent = 0
         writer.write(begin.replace(b"%b", attempt.encode()))
         block = repeated * (1 + 65536 // len(repeated))
         try:
@@ -195,12 +198,6 @@
         return True
 
     async def run(self, asked, attempt, writer):
-        if self.behaviour == "endless_event":
-            begin = CHUNKED + b"c\r\nid: 1\ndata: \r\n"
-            await self.send_without_end(begin, b"400\r\n" + KIB + b"\r\n", attempt, writer)
-            return False
-        if self.behaviour not in ("ok", "hold"):
-            return await super().run(asked, attempt, writer)
         source = asked.headers.get("kv-from")
         if source is not None and source not in self.copies:
             self.ran.pop()
@@ -208,6 +205,12 @@
             return True
         if source is not None:
             self.went_on.append(attempt)
+        if self.behaviour == "endless_event":
+            begin = CHUNKED + b"c\r\nid: 1\ndata: \r\n"
+            await self.send_without_end(begin, b"400\r\n" + KIB + b"\r\n", attempt, writer)
+            return False
+        if self.behaviour not in ("ok", "hold"):
+            return await super().run(asked, attempt, writer)
         backup = asked.headers.get("kv-backup")
         first = max(0, int(asked.headers.get("last-event-id", 0)) - self.repeats)
         headers = [("Attempt-Id", attempt), SIGNATURE, ("Content-Type", "text/event-stream")]
