Suspect a request by the servers that it broke, tell on what was heard, and split the answers from their connections

Found by reading: since collectors speak for a region, marks reached three collectors and no further, so each daemon could have let a request crash servers. Ruled out: a probe from time to time (195 daemons, each with its own: the bound of three retries after the third crash breaks). Change: what counts is the set of servers, by id and start; what a daemon rejects of a server that goes on sending is no crash; sets are told on by everybody with the age of each break, so order and repetition change nothing; an answer clears the mark at every daemon. Dropped datagrams are counted.

--- a/src/lovageway/forwarding/attempt.py
+++ b/src/lovageway/forwarding/attempt.py
@@ -6,8 +6,8 @@
 from enum import Enum
 from typing import NamedTuple
 
+from lovageway.forwarding.exchange import ANSWER_MOST, Exchange, Part
 from lovageway.forwarding.model import Address, AnswerHead
-from lovageway.forwarding.outbound import ANSWER_MOST, Exchange, Part
 from lovageway.forwarding.replicas import Entry
 from lovageway.forwarding.request import Request
 from lovageway.platform import heads
@@ -158,7 +158,9 @@
                     break
     except NotSentError:
         return Attempt(Outcome.NOT_SENT, None, b"")
-    return _judge(request, entry, head, bytes(body), part.complete, began)
+    complete = part.complete
+    crashed = not complete and exchange.fault is None
+    return _judge(request, entry, head, bytes(body), began, complete=complete, crashed=crashed)
 
 
 def not_run(entry: Entry, head: AnswerHead, body: bytes, now: float) -> Attempt:
@@ -176,18 +178,27 @@
     entry: Entry,
     head: AnswerHead | None,
     body: bytes,
-    complete: bool,
     began: float,
+    *,
+    complete: bool,
+    crashed: bool,
 ) -> Attempt:
-    """Decide what a collected answer means."""
+    """Decide what a collected answer means.
+
+    Parameters
+    ----------
+    crashed
+        The server broke off by itself.
+    """
     now = request.state.clock()
     if head is not None and head.not_run:
         return not_run(entry, head, body, now)
     if head is None or not complete:
         entry.on_failure(now)
-        request.state.poison.on_break(request.mark, now)
+        if crashed:
+            request.state.poison.on_break(request.mark, entry.token, now)
         return Attempt(Outcome.BROKEN, head, b"")
-    request.state.poison.on_answer(request.mark)
+    request.state.poison.on_answer(request.mark, now)
     if head.status >= 500 or (head.status < 300 and not genuine(head)):
         entry.on_failure(now)
         return Attempt(Outcome.FAILED, head, body)
--- a/src/lovageway/forwarding/feed.py
+++ b/src/lovageway/forwarding/feed.py
@@ -9,9 +9,10 @@
 from random import Random
 
 from lovageway.forwarding.eventlog import EventLog
+from lovageway.forwarding.exchange import Exchange
 from lovageway.forwarding.mirror import Mirror
 from lovageway.forwarding.model import Address, AnswerHead, Page, Row
-from lovageway.forwarding.outbound import Exchange, Pool
+from lovageway.forwarding.outbound import Pool
 from lovageway.platform import store
 
 WATCH_S = 5.0
--- a/src/lovageway/forwarding/gossip.py
+++ b/src/lovageway/forwarding/gossip.py
@@ -12,6 +12,7 @@
 from lovageway.forwarding.members import MemberFacts
 from lovageway.forwarding.mirror import Mirror
 from lovageway.forwarding.model import Row
+from lovageway.forwarding.poison import Suspect
 
 NEWS, RUNS, DONE, ROWS, ADDED = 1, 2, 3, 4, 5  # kinds of datagrams
 DATAGRAM_MOST = 8192  # bytes
@@ -34,7 +35,7 @@
     facts: MemberFacts
     versions: dict[str, int]  # newest row by table
     loads: Loads
-    poison: list[tuple[bytes, int]]
+    poison: list[Suspect]
     relayed: list[MemberFacts]
     store_lost: bool  # whether the store turns the sender away
     daemons: int = 1  # how many daemons' load it is: the sender's own, or a collector's sum
@@ -143,7 +144,7 @@
         facts=_facts(facts),
         versions={str(table): int(version) for table, version in versions.items()},
         loads=_loads(loads),
-        poison=[(_mark(mark), int(count)) for mark, count in poison],
+        poison=[_suspect(item) for item in poison],
         relayed=[_facts(item) for item in relayed],
         store_lost=bool(store_lost),
         daemons=int(daemons),
@@ -151,18 +152,22 @@
     )
 
 
-def _mark(value: object) -> bytes:
-    # A number would be taken for the length of a field of zeros.
+def _suspect(item: Any) -> Suspect:
+    mark, breaks, cleared_ms = item
+    decoded = tuple((_bytes(server), int(age_ms)) for server, age_ms in breaks)
+    return Suspect(_bytes(mark), decoded, None if cleared_ms is None else int(cleared_ms))
+
+
+def _bytes(value: object) -> bytes:
+    # bytes(value) would take a number for the length of a field of zeros.
     if not isinstance(value, bytes):
-        raise TypeError("a mark is not bytes")
+        raise TypeError(f"{value!r} is not bytes")
     return value
 
 
 def _row(fields: Any) -> Row:
     table, key, value, version = fields
-    if value is not None and not isinstance(value, bytes):
-        raise TypeError("a row's value is not bytes")
-    return Row(str(table), str(key), value, int(version))
+    return Row(str(table), str(key), None if value is None else _bytes(value), int(version))
 
 
 def _facts(item: Any) -> MemberFacts:
@@ -173,8 +178,13 @@
 class Gossip(asyncio.DatagramProtocol):
     """Socket for datagrams."""
 
-    def __init__(self, on_message: Callable[[Message], None]) -> None:
+    def __init__(
+        self,
+        on_message: Callable[[Message], None],
+        on_rejected: Callable[[str], None] = lambda reason: None,
+    ) -> None:
         self._on_message = on_message
+        self._on_rejected = on_rejected
         self._transport: asyncio.DatagramTransport | None = None
         self.rejected = 0
 
@@ -187,6 +197,7 @@
         message = decode(data)
         if message is None or _sender(message) not in (None, addr[0]):
             self.rejected += 1
+            self._on_rejected("unreadable" if message is None else "another sender")
             return
         self._on_message(message)
 
--- a/src/lovageway/forwarding/moves.py
+++ b/src/lovageway/forwarding/moves.py
@@ -5,8 +5,8 @@
 
 from lovageway.forwarding import carrying
 from lovageway.forwarding.attempt import connection_key, next_part
+from lovageway.forwarding.exchange import Exchange
 from lovageway.forwarding.model import Address, MoveResult
-from lovageway.forwarding.outbound import Exchange
 from lovageway.forwarding.replicas import Entry
 from lovageway.forwarding.request import Request
 from lovageway.platform import engines
--- a/src/lovageway/forwarding/outbound.py
+++ b/src/lovageway/forwarding/outbound.py
@@ -7,12 +7,11 @@
 
 import asyncio
 import socket
-from collections import deque
 from collections.abc import Callable
-from typing import NamedTuple
 
 import httptools
 
+from lovageway.forwarding.exchange import BadAnswerError, Exchange, Part
 from lovageway.forwarding.model import Address, AnswerHead
 
 CONNECT_TIMEOUT_S = 0.3  # calls have about a second; a lost first packet is sent again after one
@@ -24,102 +23,11 @@
 HEAD_MOST = 32 * 1024  # bytes of a head, of trailers or of anything else between parts of a body
 HEADERS_MOST = 200
 INTERIM_MOST = 8  # 1xx heads before an answer
-ANSWER_MOST = 4 << 20  # bytes of the body of an answer that is collected; the store's have 1 MB
 SKIPPED_MOST = 64 * 1024  # bytes of answers to other requests that are read to reach the own one
-UNTAKEN_MOST = 64 * 1024  # bytes of an answer that wait to be taken before reading pauses
 
 HeadDecoder = Callable[[int, str, list[tuple[str, str]]], AnswerHead]
 
 
-class Part(NamedTuple):
-    """A part of an answer."""
-
-    head: AnswerHead | None
-    data: bytes
-    end: bool
-    complete: bool  # with `end`: the whole answer arrived
-
-
-class BadAnswerError(Exception):
-    """An answer that is not taken; the message names the bound that it exceeds, or the fault."""
-
-
-class Exchange:
-    """One request on a connection and the parts of its answer.
-
-    Parameters
-    ----------
-    attempt_id
-        Id that the answer must bear; None for calls without one.
-    body_most
-        Bytes that the body may have; None for a stream, whose events have their own bound.
-    """
-
-    def __init__(
-        self,
-        attempt_id: str | None,
-        *,
-        no_body: bool = False,
-        body_most: int | None = ANSWER_MOST,
-    ) -> None:
-        self.attempt_id = attempt_id
-        self.no_body = no_body
-        self.body_most = body_most
-        self.fault: str | None = None  # why the answer was not taken
-        self.on_pace: Callable[[bool], None] = lambda paused: None
-        self._received = 0
-        self._parts: deque[Part] = deque()
-        self._untaken = 0
-        self._paused = False
-        self._waiter: asyncio.Future[None] | None = None
-        self.ended = False
-
-    def expect(self, size: int) -> None:
-        """Check the length that a head announces.
-
-        Raises
-        ------
-        BadAnswerError
-            The body will exceed its bound.
-        """
-        if self.body_most is not None and self._received + size > self.body_most:
-            raise BadAnswerError("body")
-
-    def put(self, part: Part) -> None:
-        """Add a part; parts after the end are dropped.
-
-        Raises
-        ------
-        BadAnswerError
-            The body exceeds its bound.
-        """
-        if self.ended:
-            return
-        self.expect(len(part.data))
-        self._received += len(part.data)
-        self.ended = part.end
-        self._parts.append(part)
-        self._untaken += len(part.data)
-        self._set_pace(self._untaken > UNTAKEN_MOST)
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
-
-    async def get(self) -> Part:
-        """Return the next part, in order."""
-        while not self._parts:
-            self._waiter = asyncio.get_running_loop().create_future()
-            await self._waiter
-        part = self._parts.popleft()
-        self._untaken -= len(part.data)
-        self._set_pace(self._untaken > UNTAKEN_MOST)
-        return part
-
-    def _set_pace(self, paused: bool) -> None:
-        if paused != self._paused:
-            self._paused = paused
-            self.on_pace(paused)
-
-
 class ServerConnection(asyncio.Protocol):
     """One connection to a server."""
 
@@ -245,14 +153,11 @@
         Raises
         ------
         BadAnswerError
-            It has no id and is not the first answer on its connection: it may be another copy of
-            an answer that was given before.
+            It has no id: it may be another copy of an answer that was given before.
         """
-        if exchange.attempt_id is None or head.attempt_id == exchange.attempt_id:
-            return True
-        if head.attempt_id is None and self.answered > 0:
+        if exchange.attempt_id is not None and head.attempt_id is None:
             raise BadAnswerError("no id")
-        return head.attempt_id is None
+        return exchange.attempt_id is None or head.attempt_id == exchange.attempt_id
 
     def on_body(self, body: bytes) -> None:
         """Pass on a part of the body."""
--- a/src/lovageway/forwarding/peers.py
+++ b/src/lovageway/forwarding/peers.py
@@ -46,7 +46,9 @@
             )
             for table in TABLES
         }
-        self._gossip = gossip.Gossip(self._on_message)
+        self._gossip = gossip.Gossip(
+            self._on_message, lambda reason: state.telemetry.add("datagrams_rejected", reason)
+        )
         self._port = state.cfg.internal_ports[0]
         self._ahead: dict[str, tuple[float, str]] = {}  # table: since when which peer is ahead
         self._pulls: set[asyncio.Task[None]] = set()
@@ -270,7 +272,7 @@
         for facts in news.relayed:
             state.members.on_relayed(facts, now)
         self._on_load(news, now)
-        state.poison.on_peer(news.facts.ip, news.poison, now)
+        state.poison.on_peer(news.poison, now)
         if changed:
             state.log("daemon", ip=news.facts.ip, state=news.facts.state)
             if news.facts.state == STARTING and state.lifecycle.state == READY:
--- a/src/lovageway/forwarding/poison.py
+++ b/src/lovageway/forwarding/poison.py
@@ -1,21 +1,24 @@
 """Recognises requests that crash the servers that run them.
 
 Load pattern: a client sends the same request again and again, through any daemon, and each server
-that begins to run it dies. Daemons count breaks under the request's fingerprint and tell each
-other; an answer of any kind clears the fingerprint.
+that begins to run it dies. Daemons note under the request's fingerprint which servers broke off,
+and tell each other; an answer of any kind, at any daemon, clears the fingerprint.
+
+Load pattern of sound requests: many clients ask the same thing, and one faulty server breaks off
+part of its answers. It counts as one server however often it does so, so that the request is still
+served by the others. What a daemon rejects of a server that goes on sending is no crash.
+
+What was told is a set of servers with the ages of their breaks. Whoever hears it tells it on, in
+whatever order and however often, without making it more or younger.
 """
 
 from hashlib import blake2b
 from typing import NamedTuple
 
-LIMIT = 3  # breaks without an answer between them
+LIMIT = 3  # servers, or starts of a server, that broke off without an answer between them
 KEEP_S = 60.0
-SPREAD_MOST = 32  # marks in one message
-
-
-class _Mark(NamedTuple):
-    breaks: int
-    at: float
+SPREAD_MOST = 16  # fingerprints in one message
+KNOWN_MOST = 4096  # fingerprints that are kept of what others tell
 
 
 def fingerprint(account: str | None, method: str, target: str, body: bytes) -> bytes:
@@ -26,45 +29,90 @@
     return digest.digest()
 
 
+class Suspect(NamedTuple):
+    """What daemons tell each other of one fingerprint."""
+
+    mark: bytes
+    breaks: tuple[tuple[bytes, int], ...]  # servers that broke off, with the age in ms
+    cleared_ms: int | None  # age of the last answer, None if there was none
+
+
+class _Known:
+    def __init__(self) -> None:
+        self.breaks: dict[bytes, float] = {}  # by server: when it broke off
+        self.cleared_at = float("-inf")
+
+    @property
+    def newest(self) -> float:
+        return max((self.cleared_at, *self.breaks.values()))
+
+    def add(self, server: bytes, at: float) -> None:
+        if at > self.cleared_at:
+            self.breaks[server] = max(at, self.breaks.get(server, at))
+
+    def clear(self, at: float) -> None:
+        self.cleared_at = max(at, self.cleared_at)
+        kept = {server: broke for server, broke in self.breaks.items() if broke > self.cleared_at}
+        self.breaks = kept
+
+    def expire(self, now: float) -> None:
+        self.breaks = {s: at for s, at in self.breaks.items() if now - at < KEEP_S}
+
+
+def server_token(server: str, born_ms: int) -> bytes:
+    """Return what stands for one start of a server."""
+    return blake2b(f"{server}/{born_ms}".encode(), digest_size=4).digest()
+
+
 class Poison:
-    """Breaks by fingerprint, own ones and those that other daemons told of."""
+    """Servers that broke off, by fingerprint, as this and other daemons saw them."""
 
     def __init__(self) -> None:
-        self._own: dict[bytes, _Mark] = {}
-        self._others: dict[tuple[str, bytes], _Mark] = {}
+        self._known: dict[bytes, _Known] = {}
 
-    def on_break(self, mark: bytes, now: float) -> None:
-        """Count a server that broke off while it ran the request."""
-        old = self._own.get(mark, _Mark(0, now))
-        self._own[mark] = _Mark(old.breaks + 1, now)
+    def on_break(self, mark: bytes, server: bytes, now: float) -> None:
+        """Note a server that broke off while it ran the request."""
+        self._known.setdefault(mark, _Known()).add(server, now)
 
-    def on_answer(self, mark: bytes) -> None:
+    def on_answer(self, mark: bytes, now: float) -> None:
         """Forget the breaks of a request that was answered."""
-        if not self._own and not self._others:
-            return
-        self._own.pop(mark, None)
-        for key in [key for key in self._others if key[1] == mark]:
-            del self._others[key]
-
-    def on_peer(self, peer: str, marks: list[tuple[bytes, int]], now: float) -> None:
-        """Take another daemon's counts."""
-        for mark, count in marks:
-            old = self._others.get((peer, mark))
-            if old is None or old.breaks != count:
-                self._others[(peer, mark)] = _Mark(count, now)
+        known = self._known.get(mark)
+        if known is not None:
+            known.clear(now)
+
+    def on_peer(self, suspects: list[Suspect], now: float) -> None:
+        """Take what another daemon knows."""
+        for mark, breaks, cleared_ms in suspects:
+            if mark not in self._known and len(self._known) >= KNOWN_MOST:
+                continue
+            known = self._known.setdefault(mark, _Known())
+            if cleared_ms is not None:
+                known.clear(now - cleared_ms / 1000)
+            for server, age_ms in breaks:
+                known.add(server, now - age_ms / 1000)
 
     def suspected(self, mark: bytes, now: float) -> bool:
         """Return whether the request must not reach another server."""
-        if not self._own and not self._others:
+        known = self._known.get(mark)
+        if known is None:
             return False
-        own = self._own.get(mark)
-        counts = [own] if own is not None else []
-        counts += [item for key, item in self._others.items() if key[1] == mark]
-        return sum(item.breaks for item in counts if now - item.at < KEEP_S) >= LIMIT
-
-    def spread(self, now: float) -> list[tuple[bytes, int]]:
-        """Return own recent counts for the other daemons, newest first; drop old ones."""
-        self._own = {key: item for key, item in self._own.items() if now - item.at < KEEP_S}
-        self._others = {key: item for key, item in self._others.items() if now - item.at < KEEP_S}
-        newest = sorted(self._own.items(), key=lambda item: -item[1].at)[:SPREAD_MOST]
-        return [(mark, item.breaks) for mark, item in newest]
+        return sum(now - at < KEEP_S for at in known.breaks.values()) >= LIMIT
+
+    def spread(self, now: float) -> list[Suspect]:
+        """Return what is known for the other daemons, newest first; drop what is old."""
+        for known in self._known.values():
+            known.expire(now)
+        self._known = {
+            mark: known
+            for mark, known in self._known.items()
+            if known.breaks or now - known.cleared_at < KEEP_S
+        }
+        newest = sorted(self._known.items(), key=lambda item: -item[1].newest)[:SPREAD_MOST]
+        return [self._suspect(mark, known, now) for mark, known in newest]
+
+    @staticmethod
+    def _suspect(mark: bytes, known: _Known, now: float) -> Suspect:
+        recent = sorted(known.breaks.items(), key=lambda item: -item[1])[:LIMIT]
+        breaks = tuple((server, int(1000 * (now - at))) for server, at in recent)
+        answered = now - known.cleared_at < KEEP_S
+        return Suspect(mark, breaks, int(1000 * (now - known.cleared_at)) if answered else None)
--- a/src/lovageway/forwarding/replicas.py
+++ b/src/lovageway/forwarding/replicas.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from lovageway.forwarding.model import Bounds, Replica, Service
+from lovageway.forwarding.poison import server_token
 
 LAPSE_GRACE_S = 2.0  # an entry that lapsed while the store was away is back within this time
 SUSPEND_FIRST_S = 0.5
@@ -35,6 +36,11 @@
         """Return the server's id."""
         return self.replica.id
 
+    @property
+    def token(self) -> bytes:
+        """Return what stands for this start of the server among the daemons."""
+        return server_token(self.replica.id, self.replica.born_ms)
+
     @property
     def leaving(self) -> bool:
         """Return whether the server announced that it leaves, or its entry was removed."""
--- a/src/lovageway/forwarding/streams.py
+++ b/src/lovageway/forwarding/streams.py
@@ -19,10 +19,10 @@
 )
 from lovageway.forwarding.connections import ClientConnection, Inbound
 from lovageway.forwarding.events import EventSplitter, EventTooLargeError
+from lovageway.forwarding.exchange import ANSWER_MOST, Exchange
 from lovageway.forwarding.load import Load
 from lovageway.forwarding.model import AnswerHead
 from lovageway.forwarding.moves import Handover, Mover
-from lovageway.forwarding.outbound import ANSWER_MOST, Exchange
 from lovageway.forwarding.pace import Pace
 from lovageway.forwarding.placement import expected_output
 from lovageway.forwarding.replicas import Entry
@@ -244,21 +244,22 @@
             if part.head is not None:
                 head = part.head
             if part.end:
-                return self._ended(entry, head, bytes(body), splitter, part.complete)
+                crashed = exchange.fault is None
+                return self._ended(entry, head, bytes(body), splitter, part.complete, crashed)
             if head is None:
                 continue
             if head.status != 200 or not genuine(head):
                 body += part.data
                 if len(body) > ANSWER_MOST or not self.request.answer.take(len(part.data)):
                     exchange.fault = "body"
-                    return self._ended(entry, head, b"", splitter, False)
+                    return self._ended(entry, head, b"", splitter, False, False)
                 continue
             self._has_read(entry)
             try:
                 events = splitter.feed(part.data)
             except EventTooLargeError:
                 exchange.fault = "event"
-                return self._ended(entry, head, b"", splitter, False)
+                return self._ended(entry, head, b"", splitter, False, False)
             for event in events:
                 self._event(head, event.data, event.id)
             await self.conn.drained()
@@ -300,20 +301,28 @@
         body: bytes,
         splitter: EventSplitter,
         complete: bool,
+        crashed: bool,
     ) -> Attempt:
-        """Decide what the end of an engine's answer means."""
+        """Decide what the end of an engine's answer means.
+
+        Parameters
+        ----------
+        crashed
+            If the answer is not complete: the engine broke off by itself.
+        """
         now = self.state.clock()
         if head is not None and head.not_run:
             return not_run(entry, head, body, now)
         if head is None or not complete:
             if self.mover is None:
                 entry.on_failure(now)
-                self.state.poison.on_break(self.request.mark, now)
+            if self.mover is None and crashed:
+                self.state.poison.on_break(self.request.mark, entry.token, now)
             return Attempt(Outcome.BROKEN, head, b"")
         if head.status != 200 or not genuine(head):
             entry.on_failure(now)
             return Attempt(Outcome.FAILED, head, body)
-        self.state.poison.on_answer(self.request.mark)
+        self.state.poison.on_answer(self.request.mark, now)
         entry.on_answer(now - self.request.started_at, now)
         if not self.started:
             self.client.answer(Attempt(Outcome.ANSWERED, head, splitter.rest))
--- a/src/lovageway/forwarding/telemetry.py
+++ b/src/lovageway/forwarding/telemetry.py
@@ -25,6 +25,7 @@
     "protocol_errors": ("Client input that could not be served, by status.", ("status",)),
     "rows_taken": ("Rows that changed what the daemon knows, by source.", ("source",)),
     "rows_unreadable": ("Rows that could not be decoded, by table.", ("table",)),
+    "datagrams_rejected": ("Datagrams from other daemons that were dropped.", ("reason",)),
     "pauses": ("Times at which the process stood still.", ()),
 }
 GAUGES: dict[str, str] = {
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -11,6 +11,7 @@
 from lovageway.forwarding.load import Load
 from lovageway.forwarding.members import MemberFacts
 from lovageway.forwarding.model import Row
+from lovageway.forwarding.poison import Suspect
 
 FACTS = MemberFacts("10.0.0.1", 1, 2, 1, "z", "r")
 
@@ -18,7 +19,12 @@
 class Messages(unittest.TestCase):
     def test_every_kind_comes_back_as_it_was(self):
         news = gossip.News(
-            FACTS, {"op": 7}, {"i-1": Load(2, 300, 40, 100)}, [(b"12345678", 2)], [FACTS], True
+            FACTS,
+            {"op": 7},
+            {"i-1": Load(2, 300, 40, 100)},
+            [Suspect(b"12345678", ((b"1234", 20),), None)],
+            [FACTS],
+            True,
         )
         far = gossip.RegionSum("r2", 300, {"i-9": Load(4, 9000)})
         total = news._replace(daemons=64, far=(far,))
@@ -34,7 +40,8 @@
     def test_a_message_that_names_another_sender_is_dropped(self):
         # Guards against daemons that speak for others after an address changed hands.
         seen = []
-        receiver = gossip.Gossip(seen.append)
+        reasons = []
+        receiver = gossip.Gossip(seen.append, reasons.append)
         news = gossip.News(FACTS, {}, {}, [], [], False)
         receiver.datagram_received(gossip.encode(news), ("10.0.0.2", 7200))
         receiver.datagram_received(gossip.encode(news), ("10.0.0.1", 7200))
@@ -43,7 +50,9 @@
         receiver.datagram_received(added, ("10.0.0.2", 7200))
         runs = gossip.encode(gossip.LeavingRuns("10.0.0.1", "i-1", []))
         receiver.datagram_received(runs, ("10.0.0.2", 7200))
-        self.assertEqual((len(seen), receiver.rejected), (1, 3))
+        receiver.datagram_received(b"\xc1", ("10.0.0.1", 7200))
+        self.assertEqual((len(seen), receiver.rejected), (1, 4))
+        self.assertEqual(reasons, ["another sender"] * 3 + ["unreadable"])
 
     @settings(derandomize=True)
     @given(st.binary(max_size=100))
@@ -56,8 +65,10 @@
         # against numbers that no count can be.
         news = list(gossip.News(FACTS, {}, {}, [], [], False))
         wrong = (
-            (3, [[10**12, 1]]),
-            (3, [["text", 1]]),
+            (3, [[10**12, [], None]]),
+            (3, [["text", [], None]]),
+            (3, [[b"12345678", [[10**12, 1]], None]]),
+            (3, [[b"12345678", [], float("inf")]]),
             (2, {"i-1": [float("inf"), 1]}),
             (2, {"i-1": [1, 2, 3, 4, 5]}),
             (1, [["op", 1]]),
