Let messages between daemons tell of the most loaded servers only, so that they fit with thousands of servers

Ruled out: splitting the sum (20 datagrams twice a second to each daemon of the region). Change: a message tells of 200 servers, those with the most tokens; one that is left out counts as idle.

--- a/src/lovageway/forwarding/gossip.py
+++ b/src/lovageway/forwarding/gossip.py
@@ -16,6 +16,8 @@
 
 NEWS, RUNS, DONE, ROWS, ADDED = 1, 2, 3, 4, 5  # kinds of datagrams
 DATAGRAM_MOST = 8192  # bytes
+FAR_SERVERS_LEAST = 10  # servers of each other region that it tells of in any case
+SERVERS_MOST = 200  # servers whose load one message tells of, about 4 KB
 PULL_TIMEOUT_S = 1.0
 ROWS_MOST = 8 << 20  # bytes of one answer with rows
 _UNREADABLE = (ValueError, TypeError, AttributeError, OverflowError, msgpack.UnpackException)
@@ -76,6 +78,29 @@
 Message = News | Rows | LeavingRuns | MoveDone | LoadAdded
 
 
+def most_loaded(loads: Loads, most: int) -> Loads:
+    """Return the load of the servers that have the most, as far as a message may tell of them.
+
+    A server that is left out counts as idle; of many servers these are the least loaded ones.
+    """
+    if len(loads) <= most:
+        return loads
+    first = sorted(loads, key=lambda server: (loads[server].tokens, loads[server].requests))
+    return {server: loads[server] for server in first[-most:]}
+
+
+def fit(news: News) -> News:
+    """Return news whose load fits into a datagram, that of other regions last."""
+    loads = most_loaded(news.loads, SERVERS_MOST)
+    left = SERVERS_MOST - len(loads)
+    each = left // len(news.far) if news.far else 0
+    far = tuple(
+        part._replace(loads=most_loaded(part.loads, max(each, FAR_SERVERS_LEAST)))
+        for part in news.far
+    )
+    return news._replace(loads=loads, far=far)
+
+
 @singledispatch
 def encode(message: object) -> bytes:
     """Encode a datagram."""
--- a/src/lovageway/forwarding/peers.py
+++ b/src/lovageway/forwarding/peers.py
@@ -223,7 +223,7 @@
     def _send(self, news: gossip.News, ips: list[str]) -> None:
         if not ips:
             return
-        data = gossip.encode(news)
+        data = gossip.encode(gossip.fit(news))
         if not self._gossip.send(data, ips, self._port):
             self._state.log("news_too_large", bytes=len(data), servers=len(news.loads))
 
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -11,7 +11,7 @@
 from lovageway.forwarding.load import Load
 from lovageway.forwarding.members import MemberFacts
 from lovageway.forwarding.model import Row
-from lovageway.forwarding.poison import Suspect
+from lovageway.forwarding.poison import SPREAD_MOST, Suspect
 
 FACTS = MemberFacts("10.0.0.1", 1, 2, 1, "z", "r")
 
@@ -83,3 +83,20 @@
         row = msgpack.packb([gossip.ROWS, "op", 1, [["op", "config", 10**12, 2]], False])
         self.assertIsNone(gossip.decode(row))
         self.assertIsNone(gossip.decode(b"\x91" * 5000))
+
+    def test_news_of_thousands_of_servers_fit_into_a_datagram(self):
+        # Guards against a region that hears nothing of its collectors, neither load nor members,
+        # since the sum of the load of 3,000 servers is larger than a datagram. Found by the sweep.
+        loads = {f"i-{n:010d}": Load(n % 24, 100_000 + n, n, n) for n in range(3000)}
+        far = tuple(gossip.RegionSum(f"region-{n}", 1000, loads) for n in range(2))
+        relayed = [FACTS._replace(ip=f"10.200.100.{n}", counter=10**6 + n) for n in range(40)]
+        suspects = [Suspect(bytes(8), ((b"1234", 60_000),) * 3, 60_000)] * SPREAD_MOST
+        versions = {"op": 10**6, "servers": 10**6}
+        news = gossip.News(FACTS, versions, loads, suspects, relayed, False, 300, far)
+        found = gossip.fit(news)
+        self.assertLessEqual(len(gossip.encode(found)), gossip.DATAGRAM_MOST)
+        self.assertEqual(len(found.loads), gossip.SERVERS_MOST)
+        self.assertEqual(max(loads), max(found.loads))
+        self.assertTrue(all(part.loads for part in found.far))
+        few = news._replace(loads={"i-1": Load(1, 2)}, far=())
+        self.assertEqual(gossip.fit(few), few)
