Count only daemons that told their whole load as known, and take loads that cancel out

Cause, found by reading: a prompt that a daemon tells of at once made it count as known, so where a region tells of more prompts in a second than it has daemons (64 machines, 42 prompts a second), the sum of the newest prompts replaced the collectors' sum and engines looked idle. A load of zero in a report, beside another that ended, made each later message of that peer an error (KeyError). Change: a part of a load counts for no daemon; sums go by get.

--- a/src/lovageway/forwarding/load.py
+++ b/src/lovageway/forwarding/load.py
@@ -47,7 +47,7 @@
 
     at: float
     loads: Loads
-    daemons: int = 1  # how many daemons it is the sum of
+    daemons: int = 1  # whose whole load it is; 0 if it is a part of one's
 
 
 def _sum(*parts: Loads) -> Loads:
@@ -65,6 +65,7 @@
         self._own: Loads = {}
         self._peers: dict[str, Told] = {}  # own loads of daemons that report to this one
         self._peer_sum: Loads = {}
+        self._reporters = 0  # peers that told their whole load
         self._sums: dict[str, Told] = {}  # by collector: the region's load without this daemon's
         self._regions: dict[str, Told] = {}  # sums of other regions
         self._due = float("inf")  # when the oldest of what was told becomes too old
@@ -112,7 +113,7 @@
 
     def on_peer_added(self, peer: str, loads: Loads, now: float) -> None:
         """Take load that a peer added after its last news, and that its next news will contain."""
-        known = self._peers.get(peer, Told(now, {}))
+        known = self._peers.get(peer, Told(now, {}, 0))
         self._set_peer(peer, known._replace(loads=_sum(known.loads, loads)))
         for collector, told in self._sums.items():
             self._sums[collector] = told._replace(loads=_sum(told.loads, loads))
@@ -140,14 +141,16 @@
         """Replace what a peer told, and correct the sum by the difference."""
         old = self._peers.pop(peer, None)
         if old is not None:
+            self._reporters -= old.daemons
             for server, load in old.loads.items():
-                left = self._peer_sum[server] - load
+                left = self._peer_sum.get(server, ZERO) - load
                 if left == ZERO:
-                    del self._peer_sum[server]
+                    self._peer_sum.pop(server, None)
                 else:
                     self._peer_sum[server] = left
         if told is not None:
             self._peers[peer] = told
+            self._reporters += told.daemons
             for server, load in told.loads.items():
                 self._peer_sum[server] = self._peer_sum.get(server, ZERO) + load
 
@@ -159,7 +162,7 @@
         """Add up what is used of what was told: of the region, whoever knows the most daemons."""
         best = max(self._sums.values(), key=lambda told: (told.daemons, told.at), default=None)
         near = self._peer_sum
-        if best is not None and best.daemons > len(self._peers):
+        if best is not None and best.daemons > self._reporters:
             near = best.loads
         return _sum(near, *(told.loads for told in self._regions.values()))
 
@@ -186,11 +189,12 @@
         told = self._peers.get(peer)
         if told is None or not told.loads:
             return total
-        return {**total, **{server: total[server] - load for server, load in told.loads.items()}}
+        own_part = told.loads.items()
+        return {**total, **{server: total.get(server, ZERO) - load for server, load in own_part}}
 
     def daemons(self) -> int:
         """Return how many daemons the total is the sum of."""
-        return 1 + len(self._peers)
+        return 1 + self._reporters
 
     def regions(self, now: float) -> dict[str, tuple[float, Loads]]:
         """Return the sums of other regions that may be used, with their age."""
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -70,6 +70,25 @@
         later = 0.6 + PEER_LOAD_MAX_AGE_S
         self.assertEqual(self.book.at("i-1", later), Load(1, 10))
 
+    def test_daemons_that_told_of_single_prompts_do_not_replace_a_collectors_sum(self):
+        # Load: a fleet whose daemons tell of more prompts in a second than the region has daemons.
+        # Guards against engines that look idle, since only the newest prompts count.
+        self.book.on_sum("c", {"i-1": Load(9, 9000)}, 21, 0.0)
+        for number in range(30):
+            self.book.on_peer_added(f"peer-{number}", {"i-2": Load(1, 100, 100)}, 0.1)
+        self.assertEqual(self.book.at("i-1", 0.2), Load(9, 9000))
+        self.assertEqual(self.book.at("i-2", 0.2), Load(30, 3000, 3000))
+        self.assertEqual(self.book.daemons(), 1)
+
+    def test_loads_that_cancel_out_are_taken(self):
+        # Guards against an error at each message of a peer once a sum had become zero.
+        self.book.on_peer("b", {"i-1": ZERO}, 0.0)
+        self.book.on_peer("c", {"i-1": Load(1, 5)}, 0.0)
+        self.book.on_peer("c", {}, 0.1)
+        self.book.on_peer("b", {"i-1": Load(2, 9)}, 0.2)
+        self.assertEqual(self.book.at("i-1", 0.2), Load(2, 9))
+        self.assertEqual(self.book.total_without("b", {})["i-1"], Load(-2, -9))
+
     def test_a_collector_tells_each_daemon_the_load_of_the_others(self):
         # Guards against a daemon that counts its own requests twice.
         self.book.add("i-1", 10)
