--- a/standins/demo.py
+++ b/standins/demo.py
@@ -33,13 +33,16 @@
     body = {"model": "crock-llm", "prompt": "Route summary, len=40", "stream": True}
     url = f"http://{address}/v1/completions"
     resp = http.request("POST", url, json=body, headers=KEY, preload_content=False)
-    texts = []
+    texts, others = [], []
     for line in resp:
-        if line.startswith(b"data: {"):
-            texts.append(json.loads(line[6:])["choices"][0]["text"])
+        event = json.loads(line[6:]) if line.startswith(b"data: {") else {}
+        if "choices" in event:
+            texts.append(event["choices"][0]["text"])
             print(texts[-1], end="", flush=True)
+        elif line.strip():
+            others.append(line.decode(errors="replace").strip())
     print()
-    return "".join(texts).split()
+    return "".join(texts).split(), f"{resp.status}, besides tokens {others}"
 
 
 def refund(address):
@@ -53,9 +56,9 @@
     with Fleet() as fleet:
         start(fleet)
         first = next(iter(fleet.daemons.values()))
-        words = summary(discover(first.address, "crock-llm"))
+        words, rest = summary(discover(first.address, "crock-llm"))
         if [int(word.rpartition(":")[2]) for word in words] != list(range(40)):
-            sys.exit(f"the summary is not whole and in order: {words}")
+            sys.exit(f"the summary is not whole and in order: {words}, status {rest}")
         status, answer = refund(discover(first.address, "counter-app"))
         print("refund:", status, answer)
         if status != 200:
