Forget that a server broke off once it answers anything in the same start

A crashed server answers nothing more under its start. Change: an answer of a server, to whatever request, takes its break back from every mark, also from what other daemons still tell. Tests: tests.test_suspects.

--- a/src/lovageway/forwarding/attempt.py
+++ b/src/lovageway/forwarding/attempt.py
@@ -199,6 +199,7 @@
             request.state.poison.on_break(request.mark, entry.token, now)
         return Attempt(Outcome.BROKEN, head, b"")
     request.state.poison.on_answer(request.mark, now)
+    request.state.poison.on_server_answer(entry.token, now)
     if head.status >= 500 or (head.status < 300 and not genuine(head)):
         entry.on_failure(now)
         return Attempt(Outcome.FAILED, head, body)
--- a/src/lovageway/forwarding/poison.py
+++ b/src/lovageway/forwarding/poison.py
@@ -4,9 +4,10 @@
 that begins to run it dies. Daemons note under the request's fingerprint which servers broke off,
 and tell each other; an answer of any kind, at any daemon, clears the fingerprint.
 
-Load pattern of sound requests: many clients ask the same thing, and one faulty server breaks off
-part of its answers. It counts as one server however often it does so, so that the request is still
-served by the others. What a daemon rejects of a server that goes on sending is no crash.
+Load pattern of sound requests: many clients ask the same thing, and a faulty server breaks off part
+of its answers, or a network resets the connections to all servers at once. A server that answers
+anything after it broke off, in the same start, did not crash. It counts as one server however often
+it breaks off. What a daemon rejects of a server that goes on sending is no crash.
 
 What was told is a set of servers with the ages of their breaks. Whoever hears it tells it on, in
 whatever order and however often, without making it more or younger.
@@ -69,11 +70,20 @@
 
     def __init__(self) -> None:
         self._known: dict[bytes, _Known] = {}
+        self._answered_at: dict[bytes, float] = {}  # by server that had broken off
 
     def on_break(self, mark: bytes, server: bytes, now: float) -> None:
         """Note a server that broke off while it ran the request."""
         self._known.setdefault(mark, _Known()).add(server, now)
 
+    def on_server_answer(self, server: bytes, now: float) -> None:
+        """Forget that a server broke off, for whatever request: it lives."""
+        for known in self._known.values():
+            if known.breaks.pop(server, None) is not None:
+                self._answered_at[server] = now
+        if server in self._answered_at:
+            self._answered_at[server] = now
+
     def on_answer(self, mark: bytes, now: float) -> None:
         """Forget the breaks of a request that was answered."""
         known = self._known.get(mark)
@@ -89,7 +99,9 @@
             if cleared_ms is not None:
                 known.clear(now - cleared_ms / 1000)
             for server, age_ms in breaks:
-                known.add(server, now - age_ms / 1000)
+                broke_at = now - age_ms / 1000
+                if broke_at > self._answered_at.get(server, float("-inf")):
+                    known.add(server, broke_at)
 
     def suspected(self, mark: bytes, now: float) -> bool:
         """Return whether the request must not reach another server."""
@@ -107,6 +119,8 @@
             for mark, known in self._known.items()
             if known.breaks or now - known.cleared_at < KEEP_S
         }
+        answered = self._answered_at.items()
+        self._answered_at = {server: at for server, at in answered if now - at < KEEP_S}
         newest = sorted(self._known.items(), key=lambda item: -item[1].newest)[:SPREAD_MOST]
         return [self._suspect(mark, known, now) for mark, known in newest]
 
--- a/src/lovageway/forwarding/streams.py
+++ b/src/lovageway/forwarding/streams.py
@@ -323,6 +323,7 @@
             entry.on_failure(now)
             return Attempt(Outcome.FAILED, head, body)
         self.state.poison.on_answer(self.request.mark, now)
+        self.state.poison.on_server_answer(entry.token, now)
         entry.on_answer(now - self.request.started_at, now)
         if not self.started:
             self.client.answer(Attempt(Outcome.ANSWERED, head, splitter.rest))
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -59,6 +59,19 @@
         other.on_peer(broken(*SERVERS, at=2.0).spread(2.1), 2.1)
         self.assertTrue(other.suspected(MARK, 2.1))
 
+    def test_servers_that_answer_something_else_afterwards_did_not_crash(self):
+        # Guards against a request that everybody sends and all daemons refuse for a minute, since
+        # the connections to all servers were reset at once. Found by the soak, seed 6022.
+        poison = broken(*SERVERS)
+        self.assertTrue(poison.suspected(MARK, 0.1))
+        told = poison.spread(0.2)
+        poison.on_server_answer(SERVERS[0], 0.5)
+        self.assertFalse(poison.suspected(MARK, 0.5))
+        poison.on_peer(told, 0.6)  # from a daemon that has had no answer of it
+        self.assertFalse(poison.suspected(MARK, 0.6))
+        poison.on_break(MARK, SERVERS[0], 1.0)
+        self.assertTrue(poison.suspected(MARK, 1.0))
+
     def test_what_was_told_is_told_on_and_ages_on_its_way(self):
         # Guards against a fleet whose collectors keep to themselves what one daemon saw, and
         # against daemons that keep a mark alive by telling each other of it.
