--- a/standins/demo.py
+++ b/standins/demo.py
@@ -30,6 +30,12 @@
 
 
 def summary(address):
+    """Return the words of a summary."""
+    return answer_and_rest(address)[0]
+
+
+def answer_and_rest(address):
+    """Return the words of a summary, and what came besides them."""
     body = {"model": "crock-llm", "prompt": "Route summary, len=40", "stream": True}
     url = f"http://{address}/v1/completions"
     resp = http.request("POST", url, json=body, headers=KEY, preload_content=False)
@@ -56,7 +62,7 @@
     with Fleet() as fleet:
         start(fleet)
         first = next(iter(fleet.daemons.values()))
-        words, rest = summary(discover(first.address, "crock-llm"))
+        words, rest = answer_and_rest(discover(first.address, "crock-llm"))
         if [int(word.rpartition(":")[2]) for word in words] != list(range(40)):
             sys.exit(f"the summary is not whole and in order: {words}, status {rest}")
         status, answer = refund(discover(first.address, "counter-app"))
