Send the sums of a region from two collectors, and those of other regions with each third message

A message of 62 engines with ids of the platform's length has 6.2 KB with them and 40 members, 2.1 KB without them and 32 (encoded here); three collectors sent it twice a second to every daemon, which decoded it. Change: all three collectors still get the reports, the first two send; other regions come with each third message (they may be 2.5 s old); 12 far members a message. Test: tests.test_fleet_rows.Telling fails on the code before (1404 messages with far sums, 748 allowed).

--- a/src/lovageway/forwarding/members.py
+++ b/src/lovageway/forwarding/members.py
@@ -22,11 +22,12 @@
 FORGET_AFTER_S = 30.0
 SETTLE_S = 3.0  # after its start a daemon has heard of all others, through collectors
 FULL_MESH_MOST = 16  # up to so many peers, each tick reaches all of them
-COLLECTORS = 3  # in each region of a larger fleet
+COLLECTORS = 3  # in each region of a larger fleet; all of them get the reports
+SENDERS = 2  # of the collectors tell the region its sum; the next one replaces a silent one at once
 ELSEWHERE = 3  # daemons of each other region that a collector tells of its region
 RELAYED_MOST = 8  # members described in one message
 RELAYED_NEAR = 24  # members of its region described in one message of a collector
-RELAYED_FAR = 16  # members of other regions described in one message of a collector
+RELAYED_FAR = 12  # members of other regions described in one message of a collector
 
 STARTING, READY, LEAVING = 0, 1, 2
 
@@ -271,9 +272,9 @@
         near, collectors = self.near(now), self.collectors(now)
         reports = [ip for ip in collectors if ip != self.own.ip]
         others = [ip for ip in near if ip not in reports]
-        if self.own.ip in collectors:
+        if self.own.ip in collectors[:SENDERS]:
             return Targets([*reports, *self._silent(rng)], others, self._elsewhere())
-        if others:
+        if others and self.own.ip not in collectors:
             reports.append(rng.choice(others))
         return Targets([*reports, *self._silent(rng)], [], [])
 
--- a/src/lovageway/forwarding/peers.py
+++ b/src/lovageway/forwarding/peers.py
@@ -18,6 +18,7 @@
 LAPSE_WINDOW_S = 2.0  # after the store's return, removed entries count as lapsed
 ADDED_PER_S = 30.0  # datagrams of about 70 bytes on added load; half of a daemon's 4 KB a second
 ADDED_BURST = 120.0
+FAR_EACH = 3  # every so many of a collector's messages tell of the load of other regions
 MEMBERS_TABLE = "daemons"
 MEMBERS_READ_S = 15.0
 MEMBERS_RETRY_S = 3.0
@@ -56,6 +57,7 @@
         self._announcing: asyncio.Task[None] | None = None
         state.move_done = self.move_done
         state.load_added = self.load_added
+        self._sums_sent = 0
         self._added_tokens = Tokens(ADDED_PER_S, ADDED_BURST)
 
     async def start(self) -> None:
@@ -196,6 +198,7 @@
         self._send(news, to.reports)
         if not to.region and not to.elsewhere:
             return
+        self._sums_sent += 1
         total, daemons = state.book.total(now), state.book.daemons()
         for ip in to.region:
             loads = state.book.total_without(ip, total)
@@ -211,7 +214,7 @@
     def _news(self, now: float, *, collecting: bool) -> gossip.News:
         state = self._state
         far: tuple[gossip.RegionSum, ...] = ()
-        if collecting:
+        if collecting and self._sums_sent % FAR_EACH == 0:
             far = tuple(
                 gossip.RegionSum(region, int(1000 * age_s), loads)
                 for region, (age_s, loads) in state.book.regions(now).items()
--- a/tests/fleetworld.py
+++ b/tests/fleetworld.py
@@ -105,6 +105,7 @@
         self.ips = [f"10.{n % regions}.0.{n}" for n in range(daemons)]
         self.region = {ip: f"r{n % regions}" for n, ip in enumerate(self.ips)}
         self.peers, self.tasks = {}, {}
+        self.messages = []  # of members and load, as they were sent
 
     def put(self, table, key, value):
         """Write a row, or remove one."""
@@ -178,6 +179,8 @@
     def _send(self, sender, data, ips):
         if len(data) > gossip.DATAGRAM_MOST:
             return False
+        if isinstance(message := gossip.decode(data), gossip.News):
+            self.messages += [message] * len(ips)
         for ip in ips:
             if sender not in self.silent | self.mute:
                 same = self.region[ip] == self.region[sender]
--- a/tests/test_fleet_rows.py
+++ b/tests/test_fleet_rows.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 from standins.replica import Replica
 
-from lovageway.forwarding.members import LEAVING
+from lovageway.forwarding.members import LEAVING, SENDERS
 from tests.fleetworld import FleetWorld, run
 from tests.relayworld import config
 
@@ -106,6 +106,30 @@
         run(scenario)
 
 
+class Telling(unittest.TestCase):
+    def test_other_regions_are_known_everywhere_though_few_messages_tell_of_them(self):
+        # Load: every daemon has work at engines of its region. Guards against messages that grow
+        # threefold once the sums of other regions come: found on jarback-llm-large, 0.64 GB between
+        # zones on a quiet day in place of 0.21.
+        async def scenario(worlds):
+            world = await started(worlds)
+            for number, ip in enumerate(world.ips):
+                world.state(ip).book.add(f"{world.region[ip]}-{number % 20}", 3000)
+            await asyncio.sleep(4.0)
+            for ip in world.ips:
+                known = world.state(ip).book.regions(world.loop.time())
+                self.assertEqual({*known} | {world.region[ip]}, {"r0", "r1", "r2"})
+            world.messages.clear()
+            await asyncio.sleep(6.0)
+            sums = [item for item in world.messages if item.daemons > 1]
+            far = [item for item in sums if item.far]
+            self.assertLessEqual(len(far), len(sums) / 3 + 2 * SENDERS * DAEMONS / 3)
+            senders = {item.facts.ip for item in sums}
+            self.assertEqual(len(senders), 3 * SENDERS)
+
+        run(scenario)
+
+
 class Stopping(unittest.TestCase):
     def test_a_region_knows_at_once_of_a_daemon_that_stops(self):
         # Guards against a directory that names a stopping daemon until its turn to be described.
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -13,6 +13,7 @@
     LEAVING_DEAD_AFTER_S,
     READY,
     RELAYED_NEAR,
+    SENDERS,
     SILENT_S,
     STARTING,
     MemberFacts,
@@ -103,11 +104,12 @@
         for region in ("r0", "r1", "r2"):
             near = {ip for ip, view in views.items() if view.own.region == region}
             first = sorted(near, key=order)[:COLLECTORS]
-            self.assertEqual([ip for ip in sorted(near, key=order) if to[ip].region], first)
+            senders = first[:SENDERS]
+            self.assertEqual([ip for ip in sorted(near, key=order) if to[ip].region], senders)
             for ip in near:
                 self.assertLessEqual({*first} - {ip}, {*to[ip].reports})
-                hears = [collector for collector in first if ip in to[collector].region]
-                self.assertEqual(len(hears), 0 if ip in first else COLLECTORS)
+                hears = [sender for sender in senders if ip in to[sender].region]
+                self.assertEqual(len(hears), 0 if ip in first else SENDERS)
             elsewhere = {views[ip].own.region for ip in to[first[0]].elsewhere}
             self.assertEqual(elsewhere, {"r0", "r1", "r2"} - {region})
 
