--- a/src/lovageway/forwarding/gossip.py
+++ b/src/lovageway/forwarding/gossip.py
@@ -15,7 +15,7 @@
 from lovageway.forwarding.poison import Suspect
 
 # Kinds of datagrams. The kind is the first field of each.
-HEARTBEAT, LEAVING_RUNS, MIGRATION_DONE, ROWS, LOAD_ADDED = 1, 2, 3, 4, 5
+HEARTBEAT, LEAVING_RUNS, MIGRATION_DONE, ROWS, LOAD_ADDED, MIGRATION_STARTED = 1, 2, 3, 4, 5, 6
 MAX_DATAGRAM_BYTES = 8192
 # At least this many servers of each other region are described, even if the total then exceeds
 # MAX_SERVERS.
@@ -72,6 +72,13 @@
     loads: Loads
 
 
+class MigrationStarted(NamedTuple):
+    """A generation that now uses the network link of an engine that is shutting down."""
+
+    server: str  # id of the engine
+    run: str  # attempt id of the generation
+
+
 class MigrationDone(NamedTuple):
     """A generation that no longer needs the network link of an engine that is shutting down."""
 
@@ -79,7 +86,7 @@
     run: str  # attempt id of the generation
 
 
-Message = Heartbeat | Rows | LeavingRuns | MigrationDone | LoadAdded
+Message = Heartbeat | Rows | LeavingRuns | MigrationStarted | MigrationDone | LoadAdded
 
 
 def most_loaded(loads: Loads, limit: int) -> Loads:
@@ -137,6 +144,11 @@
     return bytes(msgpack.packb([LOAD_ADDED, message.ip, message.loads]))
 
 
+@encode.register
+def _(message: MigrationStarted) -> bytes:
+    return bytes(msgpack.packb([MIGRATION_STARTED, message.server, message.run]))
+
+
 @encode.register
 def _(message: MigrationDone) -> bytes:
     return bytes(msgpack.packb([MIGRATION_DONE, message.server, message.run]))
@@ -159,6 +171,9 @@
             ip, server, runs = fields
             decoded_runs = [LeavingRun(str(i), int(c), int(w)) for i, c, w in runs]
             return LeavingRuns(str(ip), str(server), decoded_runs)
+        if kind == MIGRATION_STARTED:
+            server, run = fields
+            return MigrationStarted(str(server), str(run))
         if kind == MIGRATION_DONE:
             server, run = fields
             return MigrationDone(str(server), str(run))
@@ -243,7 +258,8 @@
         """Handle a datagram.
 
         One that is malformed is rejected, and so is one whose sender field does not match its
-        source address. `Rows` and `MigrationDone` have no sender field and are not checked.
+        source address. `Rows`, `MigrationStarted` and `MigrationDone` have no
+        sender field and are not checked.
         """
         message = decode(data)
         if message is None or _sender(message) not in (None, addr[0]):
--- a/src/lovageway/forwarding/migration.py
+++ b/src/lovageway/forwarding/migration.py
@@ -163,6 +163,9 @@
     def __init__(self, at: float) -> None:
         self.at = at
         self.runs: dict[str, LeavingRun] = {}
+        self.reported_at: dict[str, float] = {}  # by run
+        self.own: set[str] = set()  # runs of this daemon
+        self.started_at: dict[str, float] = {}  # by run
         self.finished: set[str] = set()
         self.daemons: set[str] = set()  # addresses of the other daemons with generations there
         self.ordered: list[LeavingRun] | None = None  # in order of migration; None after a change
@@ -171,12 +174,14 @@
 class MigrationSchedule:
     """Orders the migrations that use the link of each leaving engine.
 
-    Every daemon reports its generations there and each finished migration to the others, so that
-    all daemons compute the same order. A migration whose end is not reported delays the next one
-    only by its expected duration.
+    Every daemon reports its generations there and the start and end of each migration to the
+    others, so that all daemons compute the same order. Daemons learn at different times that the
+    engine leaves: a migration that has started stays first in the order, and one that is reported
+    later waits until the owners of started ones had the time to answer its report. A migration
+    whose end is not reported delays the next one only by its expected duration.
     """
 
-    COLLECT_S = 0.05  # wait for the reports of all daemons; regions are 8 ms apart
+    COLLECT_S = 0.05  # wait after a report for those of all daemons; regions are 8 ms apart
     OVERRUN_FACTOR = 1.3  # on the expected duration of a migration whose end is not reported
     # Allowance for the two calls and the message of such a migration on busy machines.
     CALL_OVERHEAD_S = 0.15
@@ -206,9 +211,13 @@
         """
         self.on_notice(server, now)
         notice = self._notices[server]
-        notice.runs.update({run.id: run for run in runs})
+        for run in runs:
+            notice.runs[run.id] = run
+            notice.reported_at.setdefault(run.id, now)
         notice.ordered = None
-        if daemon is not None:
+        if daemon is None:
+            notice.own.update(run.id for run in runs)
+        else:
             notice.daemons.add(daemon)
 
     def daemons(self, server: str) -> set[str]:
@@ -216,6 +225,19 @@
         notice = self._notices.get(server)
         return notice.daemons if notice is not None else set()
 
+    def on_started(self, server: str, run: str, now: float) -> None:
+        """Record that a migration off an engine has started."""
+        if server in self._notices:
+            self._notices[server].started_at.setdefault(run, now)
+            self._notices[server].ordered = None
+
+    def own_started(self, server: str) -> list[str]:
+        """Return this daemon's migrations off an engine that have started and not finished."""
+        notice = self._notices.get(server)
+        if notice is None:
+            return []
+        return sorted(notice.own & notice.started_at.keys() - notice.finished)
+
     def on_finished(self, server: str, run: str) -> None:
         """Record that a generation no longer needs the engine's network link."""
         if server in self._notices:
@@ -229,21 +251,28 @@
         notice = self._notices.get(server)
         if notice is None:
             return True
-        waited = now - notice.at - self.COLLECT_S
-        if waited < 0:
+        # The earliest time at which the link is free, if no end of a migration is reported.
+        free_at = notice.reported_at.get(run, notice.at) + self.COLLECT_S
+        # Rounded to microseconds, so that the sum of two times equals the time that it stands for.
+        if now < round(free_at, 6):
             return False
         if notice.ordered is None:
             notice.ordered = sorted(
-                notice.runs.values(), key=lambda r: (r.transfer_ms / max(1, r.value), r.id)
+                notice.runs.values(),
+                key=lambda r: (
+                    r.id not in notice.started_at,
+                    r.transfer_ms / max(1, r.value),
+                    r.id,
+                ),
             )
-        ahead = 0.0
         pending = False
         for other in notice.ordered:
             if other.id == run:
                 break
-            ahead += self.OVERRUN_FACTOR * other.transfer_ms / 1000 + self.CALL_OVERHEAD_S
+            free_at = max(free_at, notice.started_at.get(other.id, free_at))
+            free_at += self.OVERRUN_FACTOR * other.transfer_ms / 1000 + self.CALL_OVERHEAD_S
             pending = pending or other.id not in notice.finished
-        return not pending or waited >= ahead
+        return not pending or now >= round(free_at, 6)
 
     def tick(self, now: float) -> None:
         """Drop engines that announced their shutdown more than RETENTION_S ago."""
--- a/src/lovageway/forwarding/migrator.py
+++ b/src/lovageway/forwarding/migrator.py
@@ -14,6 +14,7 @@
 CALL_TIMEOUT_S = 4.0  # for each part of an answer, and for all attempts to migrate together
 RETRY_PAUSE_S = 0.05  # before engines that refused a migration are tried again
 POLL_INTERVAL_S = 0.01
+MAX_POLL_DELAY_S = 0.02  # a longer one means that the event loop stood still
 
 
 class CopiedGeneration(NamedTuple):
@@ -70,12 +71,26 @@
         state, attempt_id = self._state, self._request.head.attempt_id
         started_at = state.clock()
         try:
-            while not state.migration_schedule.may_start(source.id, attempt_id, state.clock()):
-                await asyncio.sleep(POLL_INTERVAL_S)
+            await self._wait_for_turn(source, attempt_id)
+            state.announce_migration_started(source.id, attempt_id)
             return await self._migrate(source, started_at)
         finally:
             state.announce_migration_done(source.id, attempt_id)
 
+    async def _wait_for_turn(self, source: Entry, attempt_id: str) -> None:
+        """Wait until the schedule allows the migration.
+
+        Time in which the event loop stood still does not count: messages of other daemons that
+        arrived in it are not read yet.
+        """
+        state, stood_still_s = self._state, 0.0
+        while not state.migration_schedule.may_start(
+            source.id, attempt_id, state.clock() - stood_still_s
+        ):
+            polled_at = state.clock()
+            await asyncio.sleep(POLL_INTERVAL_S)
+            stood_still_s += max(0.0, state.clock() - polled_at - MAX_POLL_DELAY_S)
+
     async def _migrate(self, source: Entry, started_at: float) -> CopiedGeneration | None:
         state = self._state
         refused: set[str] = set()
--- a/src/lovageway/forwarding/peers.py
+++ b/src/lovageway/forwarding/peers.py
@@ -8,6 +8,7 @@
 from lovageway.forwarding.members import READY, STARTING
 from lovageway.forwarding.migration import LeavingRun
 from lovageway.forwarding.model import Row
+from lovageway.forwarding.pacing import PacedRound
 from lovageway.forwarding.rowhandler import TABLES, RowHandler
 from lovageway.forwarding.state import State
 from lovageway.forwarding.storewatch import StoreClient, StoreError, TableWatch
@@ -23,6 +24,9 @@
 LOAD_ADDED_BURST = 120.0
 # Every third total that an aggregator sends to its region includes the load of other regions.
 OTHER_REGIONS_EVERY_N_TOTALS = 3
+# An aggregator's round of totals is spread over most of the 0.5 s until the next one.
+TOTALS_SPREAD_S = 0.4
+TOTALS_SLOT_S = 0.01
 MEMBERS_TABLE = "daemons"
 MEMBERS_READ_INTERVAL_S = 15.0
 MEMBERS_RETRY_INTERVAL_S = 3.0
@@ -60,9 +64,13 @@
         self._pulls: set[asyncio.Task[None]] = set()
         self._servers: list[asyncio.Server] = []
         self._announce_task: asyncio.Task[None] | None = None
+        state.announce_migration_started = self.announce_migration_started
         state.announce_migration_done = self.announce_migration_done
         state.announce_load = self.announce_load
         self._totals_sent = 0
+        self._totals_round = PacedRound(TOTALS_SPREAD_S, TOTALS_SLOT_S)
+        self._round_heartbeat: gossip.Heartbeat | None = None  # of the round of totals
+        self._totals_timer: asyncio.TimerHandle | None = None
         self._load_added_tokens = TokenBucket(LOAD_ADDED_PER_S, LOAD_ADDED_BURST)
 
     async def start(self) -> None:
@@ -80,6 +88,8 @@
         for watch in self._watches.values():
             watch.stop()
         self._gossip.close()
+        if self._totals_timer is not None:
+            self._totals_timer.cancel()
         for task in [*self._pulls, *([self._announce_task] if self._announce_task else [])]:
             task.cancel()
         for server in self._servers:
@@ -159,6 +169,16 @@
         data = gossip.encode(gossip.LeavingRuns(state.cfg.ip, server, runs))
         self._gossip.send(data, state.members.in_regions(regions, now), self._port)
 
+    def announce_migration_started(self, server: str, run: str) -> None:
+        """Report that a generation now uses the network link of a leaving engine."""
+        state = self._state
+        state.migration_schedule.on_started(server, run, state.clock())
+        self._send_started(server, run, state.migration_schedule.daemons(server))
+
+    def _send_started(self, server: str, run: str, ips: set[str]) -> None:
+        data = gossip.encode(gossip.MigrationStarted(server, run))
+        self._gossip.send(data, sorted(ips), self._port)
+
     def announce_migration_done(self, server: str, run: str) -> None:
         """Report that a generation no longer needs the network link of a leaving engine.
 
@@ -215,7 +235,10 @@
                 await asyncio.sleep(MEMBERS_RETRY_INTERVAL_S)
 
     def send_heartbeats(self) -> None:
-        """Send the periodic heartbeats, with the region's total load if this is an aggregator."""
+        """Send the periodic heartbeats; an aggregator starts a round of the region's totals.
+
+        Totals for other regions go first: they are few, and they travel furthest.
+        """
         state, now = self._state, self._state.clock()
         state.members.advance_counter(state.lifecycle.state)
         to = state.members.targets(now, state.rng)
@@ -224,16 +247,31 @@
         if not to.region and not to.other_regions:
             return
         self._totals_sent += 1
+        self._round_heartbeat = heartbeat
+        self._totals_round.start([*to.other_regions, *to.region])
+        if self._totals_timer is None:
+            self._send_next_totals()
+
+    def _send_next_totals(self) -> None:
+        """Send the region's total load to the next daemons of the round."""
+        self._totals_timer = None
+        heartbeat, group = self._round_heartbeat, self._totals_round.next_group()
+        if not group or heartbeat is None:
+            return
+        state, now = self._state, self._state.clock()
         total, daemons = state.load_tracker.total(now), state.load_tracker.daemons()
-        for ip in to.region:
-            loads = state.load_tracker.total_without(ip, total)
-            self._send(heartbeat._replace(loads=loads, daemons=daemons), [ip])
-        self._send(
-            heartbeat._replace(loads=total, daemons=daemons, other_regions=()), to.other_regions
-        )
+        own_region = set(state.members.in_own_region(now))
+        for ip in group:
+            if ip in own_region:
+                loads = state.load_tracker.total_without(ip, total)
+                self._send(heartbeat._replace(loads=loads, daemons=daemons), [ip])
+            else:
+                self._send(heartbeat._replace(loads=total, daemons=daemons, other_regions=()), [ip])
+        loop = asyncio.get_running_loop()
+        self._totals_timer = loop.call_later(TOTALS_SLOT_S, self._send_next_totals)
 
     def send_heartbeat_to_region(self) -> None:
-        """Send a heartbeat to every daemon of the region, such as after a change of state."""
+        """Send a heartbeat to every daemon of the region after a change of state."""
         state, now = self._state, self._state.clock()
         state.members.advance_counter(state.lifecycle.state)
         self._send(self._heartbeat(now, aggregator=False), state.members.in_own_region(now))
@@ -268,6 +306,10 @@
         match message:
             case gossip.LeavingRuns(ip, server, runs):
                 self._state.migration_schedule.on_runs(server, runs, now, ip)
+                for run in self._state.migration_schedule.own_started(server):
+                    self._send_started(server, run, {ip})
+            case gossip.MigrationStarted(server, run):
+                self._state.migration_schedule.on_started(server, run, now)
             case gossip.MigrationDone(server, run):
                 self._state.migration_schedule.on_finished(server, run)
             case gossip.Rows():
--- a/src/lovageway/forwarding/relay.py
+++ b/src/lovageway/forwarding/relay.py
@@ -183,7 +183,6 @@
         self._ticks += 1
         if self._ticks % 2 or not state.members.is_large(now):
             self._peers.send_heartbeats()
-            self._peers.send_heartbeat_to_region()
         state.pump()
         self.log.flush()
         if state.lifecycle.leaving:
--- a/src/lovageway/forwarding/state.py
+++ b/src/lovageway/forwarding/state.py
@@ -58,6 +58,9 @@
         self.load_tracker = LoadTracker()
         self.poison = PoisonDetector()
         self.migration_schedule = MigrationSchedule()
+        self.announce_migration_started: Callable[[str, str], None] = (
+            lambda server, run: self.migration_schedule.on_started(server, run, clock())
+        )
         self.announce_migration_done: Callable[[str, str], None] = (
             self.migration_schedule.on_finished
         )
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -171,7 +171,7 @@
     closed after this many events of a run, in the middle of the next one. `generated_events` maps
     generations to the number of their last event, and `kv_caches` does the same for the KV caches
     copied to this engine, by handle. A migration request (`/kv-move`) copies a KV cache to another
-    engine of `fleet`; `migration_status` other than 200 rejects these requests.
+    engine of `fleet`, in `migration_s`; `migration_status` other than 200 rejects these requests.
     """
 
     service = "llm"
@@ -186,6 +186,7 @@
         self.stopped = set()  # generations that ended here with their migration
         self.kv_caches = {}
         self.migration_status = 200
+        self.migration_s = 0.0
         self.migrations = []
         self.freed_paths = []  # paths of requests to free a copied KV cache
         self.replayed_events = 0  # events that a resumed stream sends again before new ones
@@ -202,15 +203,16 @@
 
     async def serve_request(self, request, writer):
         if request.path == "/kv-move":
-            return self._migrate(json.loads(request.body), writer)
+            return await self._migrate(json.loads(request.body), writer)
         if request.method == "DELETE":
             self.freed_paths.append(request.path)
             writer.write(answer(200, b"{}"))
             return True
         return await super().serve_request(request, writer)
 
-    def _migrate(self, fields, writer):
+    async def _migrate(self, fields, writer):
         self.migrations.append(fields)
+        await asyncio.sleep(self.migration_s)
         attempt = fields["id"]
         if self.migration_status != 200 or attempt not in self.generated_events:
             writer.write(
--- a/tests/fleetworld.py
+++ b/tests/fleetworld.py
@@ -6,17 +6,20 @@
 
 import asyncio
 import contextlib
+import json
 import selectors
 from random import Random
 from unittest import mock
 
+from standins.replica import Replica
+
 from lovageway.forwarding import gossip
 from lovageway.forwarding.model import Address, DaemonSettings, Page, Row, StoreLimits
 from lovageway.forwarding.peers import Peers
 from lovageway.forwarding.relay import TICK_S
 from lovageway.forwarding.state import State
 from lovageway.forwarding.storewatch import ANSWER_TIMEOUT_S, WATCH_TIMEOUT_S, StoreError
-from tests.relayworld import BOUNDS, RecordedLog
+from tests.relayworld import BOUNDS, RecordedLog, config
 
 NEAR_S, FAR_S, STORE_S = 0.0014, 0.008, 0.005  # one-way latency, and the store's
 HANG_S = WATCH_TIMEOUT_S + ANSWER_TIMEOUT_S  # time after which a call without an answer fails
@@ -81,6 +84,50 @@
             raise StoreError(503, "refused")
 
 
+class Link:
+    """The outgoing network link of a daemon, which drops what its full queue cannot take.
+
+    Parameters
+    ----------
+    bytes_per_s
+        Bandwidth.
+    queue_bytes
+        Size of the queue.
+    """
+
+    def __init__(self, bytes_per_s, queue_bytes):
+        self.bytes_per_s = bytes_per_s
+        self.queue_bytes = queue_bytes
+        self.free_at = 0.0  # when the queue will be empty
+        self.dropped = 0
+
+    def queue(self, size, now):
+        """Return the delay after which a datagram has left, or None if it is dropped."""
+        delay = max(0.0, self.free_at - now)
+        if delay * self.bytes_per_s + size > self.queue_bytes:
+            self.dropped += 1
+            return None
+        self.free_at = now + delay + size / self.bytes_per_s
+        return self.free_at - now
+
+
+async def started(worlds, daemons, seed=1, links=None):
+    """Return a fleet that is ready, with one server and version 1 of the configuration.
+
+    `links` holds the bandwidth of each daemon's link and the size of its queue, in bytes.
+    """
+    world = FleetWorld(daemons, seed=seed)
+    worlds.append(world)
+    if links is not None:
+        world.links = {ip: Link(*links) for ip in world.ips}
+    world.put("op", "config", json.dumps(config(1)).encode())
+    world.put("servers", "i-1", json.dumps(Replica().entry()).encode())
+    for ip in world.ips:
+        world.start(ip)
+    await asyncio.sleep(4.0)
+    return world
+
+
 class FleetWorld:
     """Daemons in three regions.
 
@@ -92,6 +139,8 @@
         Daemons that receive datagrams but whose own are lost.
     store_hangs, store_refuses
         Daemons whose calls the store does not answer, or answers with 503.
+    links
+        The network link of each daemon that has a limited one.
     """
 
     def __init__(self, daemons, regions=3, seed=1):
@@ -106,6 +155,7 @@
         self.region = {ip: f"r{n % regions}" for n, ip in enumerate(self.ips)}
         self.peers, self.tasks = {}, {}
         self.messages = []  # heartbeats, one entry for each destination
+        self.links = {}  # by address
 
     def put(self, table, key, value):
         """Write a row, or remove one."""
@@ -182,9 +232,13 @@
         if isinstance(message := gossip.decode(data), gossip.Heartbeat):
             self.messages += [message] * len(ips)
         for ip in ips:
-            if sender not in self.silent | self.mute:
+            queued = 0.0
+            if sender in self.links:
+                queued = self.links[sender].queue(len(data), self.loop.time())
+            if sender not in self.silent | self.mute and queued is not None:
                 same = self.region[ip] == self.region[sender]
-                self.loop.call_later(NEAR_S if same else FAR_S, self._deliver, sender, data, ip)
+                delay = queued + (NEAR_S if same else FAR_S)
+                self.loop.call_later(delay, self._deliver, sender, data, ip)
         return True
 
     def _deliver(self, sender, data, ip):
--- a/tests/test_fleet_rows.py
+++ b/tests/test_fleet_rows.py
@@ -13,7 +13,7 @@
 from standins.replica import Replica
 
 from lovageway.forwarding.members import LEAVING, SENDING_AGGREGATORS
-from tests.fleetworld import FleetWorld, run
+from tests.fleetworld import run, started
 from tests.relayworld import config
 
 DAEMONS = 48
@@ -22,23 +22,11 @@
 FAULTS = ("silent", "mute", "store_hangs", "store_refuses")
 
 
-async def started(worlds, daemons=DAEMONS, seed=1):
-    """Return a fleet that is ready, with one server and version 1 of the configuration."""
-    world = FleetWorld(daemons, seed=seed)
-    worlds.append(world)
-    world.put("op", "config", json.dumps(config(1)).encode())
-    world.put("servers", "i-1", json.dumps(Replica().entry()).encode())
-    for ip in world.ips:
-        world.start(ip)
-    await asyncio.sleep(4.0)
-    return world
-
-
 class Watching(unittest.TestCase):
     def test_a_large_fleet_converges_to_two_watchers_a_region(self):
         # Guards against store calls that grow with the number of daemons.
         async def scenario(worlds):
-            world = await started(worlds)
+            world = await started(worlds, DAEMONS)
             await asyncio.sleep(3.0)
             self.assertEqual({*world.versions().values()}, {1})
             for region in ("r0", "r1", "r2"):
@@ -55,7 +43,7 @@
         # Guards against a region with an old configuration, or requests to a server that left,
         # while both watchers of each region fail in the same way at once.
         async def scenario(worlds):
-            world = await started(worlds, seed=seed)
+            world = await started(worlds, DAEMONS, seed=seed)
             faulty = set()
             for ip in world.watchers():
                 getattr(world, faults[int(world.region[ip][1])]).add(ip)
@@ -79,7 +67,7 @@
         # Guards against a removed server or a withdrawn key that is used again after a partitioned
         # daemon returns and another one starts while the store is unreachable.
         async def scenario(worlds):
-            world = await started(worlds)
+            world = await started(worlds, DAEMONS)
             stale = world.ips[5:9]
             world.silent.update(stale)
             await asyncio.sleep(2.0)
@@ -112,7 +100,7 @@
         # triple in size once totals of other regions are included: on jarback-llm-large this sent
         # 0.64 GB between zones on a quiet day instead of 0.21 GB.
         async def scenario(worlds):
-            world = await started(worlds)
+            world = await started(worlds, DAEMONS)
             for number, ip in enumerate(world.ips):
                 world.state(ip).load_tracker.add(f"{world.region[ip]}-{number % 20}", 3000)
             await asyncio.sleep(4.0)
@@ -136,7 +124,7 @@
     def test_a_stopping_daemon_is_known_in_its_region_without_delay(self):
         # Guards against a directory that lists a stopping daemon until the rotation describes it.
         async def scenario(worlds):
-            world = await started(worlds)
+            world = await started(worlds, DAEMONS)
             stopping = world.ips[7]
             world.state(stopping).lifecycle.on_stop(world.loop.time())
             world.peers[stopping].send_heartbeat_to_region()
@@ -154,7 +142,7 @@
     def test_load_is_known_in_all_regions_while_aggregators_are_silent(self):
         # Guards against daemons that see every engine as idle while the aggregators are frozen.
         async def scenario(worlds):
-            world = await started(worlds)
+            world = await started(worlds, DAEMONS)
             sender = world.ips[3]
             world.state(sender).load_tracker.add("i-1", 1000)
             await asyncio.sleep(1.5)
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -33,7 +33,8 @@
         added = gossip.LoadAdded(
             "10.0.0.1", {"i-1": Load(1, 300, 300), "i-2": Load(0, 300, 0, 300)}
         )
-        for message in (heartbeat, total, runs, rows, gossip.MigrationDone("i-1", "a"), added):
+        started, done = gossip.MigrationStarted("i-1", "a"), gossip.MigrationDone("i-1", "a")
+        for message in (heartbeat, total, runs, rows, started, done, added):
             with self.subTest(kind=type(message).__name__):
                 self.assertEqual(gossip.decode(gossip.encode(message)), message)
 
--- a/tests/test_migration.py
+++ b/tests/test_migration.py
@@ -120,6 +120,39 @@
         schedule.on_finished("s", "a")
         self.assertTrue(schedule.may_start("s", "b", 0.05 + 0.1))
 
+    def test_a_run_reported_late_waits_for_one_that_has_started(self):
+        # Guards against copies that overlap because two daemons learn at different times that an
+        # engine leaves: the second one found its run ahead in the order and started at once.
+        schedule = MigrationSchedule()
+        schedule.on_runs("s", [LeavingRun("a", 900, 9000)], 0.0, "first daemon")
+        schedule.on_runs("s", [LeavingRun("b", 200, 9000)], 0.08)
+        self.assertFalse(schedule.may_start("s", "b", 0.09))
+        schedule.on_started("s", "a", 0.1)
+        self.assertFalse(schedule.may_start("s", "b", 0.14))
+        schedule.on_finished("s", "a")
+        self.assertTrue(schedule.may_start("s", "b", 0.14))
+
+    def test_the_time_of_a_copy_counts_from_its_start(self):
+        # Guards against copies that overlap because the daemon of the first one started late: the
+        # second one counted the time of both from the notice.
+        schedule = MigrationSchedule()
+        schedule.on_runs("s", [LeavingRun("a", 20, 9000), LeavingRun("b", 20, 8000)], 0.0)
+        schedule.on_started("s", "a", 0.2)
+        self.assertFalse(schedule.may_start("s", "b", 0.3))
+        self.assertTrue(schedule.may_start("s", "b", 0.2 + 0.026 + schedule.CALL_OVERHEAD_S))
+
+    def test_a_started_run_keeps_the_link_when_a_better_one_is_reported(self):
+        # Guards against an order in which the run that uses the link comes second.
+        schedule = MigrationSchedule()
+        schedule.on_runs("s", [LeavingRun("a", 900, 9000), LeavingRun("c", 900, 8000)], 0.0)
+        schedule.on_started("s", "a", 0.06)
+        self.assertEqual(schedule.own_started("s"), ["a"])
+        schedule.on_runs("s", [LeavingRun("b", 200, 9000)], 0.08, "second daemon")
+        self.assertTrue(schedule.may_start("s", "a", 0.09))
+        schedule.on_finished("s", "a")
+        self.assertEqual(schedule.own_started("s"), [])
+        self.assertFalse(schedule.may_start("s", "c", 0.14))
+
     def test_every_daemon_orders_alike(self):
         other = MigrationSchedule()
         other.on_runs("s", [LeavingRun("a", 200, 9000)], 0.0)
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -1,5 +1,6 @@
 """Streams through a forwarding daemon: order, disconnects, migrations and checkpoints."""
 
+import asyncio
 import re
 
 from standins.replica import Engine
@@ -209,3 +210,28 @@
             self.assertEqual(ids(reply.body), list(range(1, 101)))
         order = [move["id"] for move in engine.migrations]
         self.assertEqual(order, ["id-0", "id-0", "id-1", "id-1"])
+
+    async def test_a_daemon_that_learns_late_of_a_leaving_engine_waits_for_the_link(self):
+        # Guards against migrations that overlap because the second daemon receives the engine's
+        # entry after the first one has started: its generation comes first in the common order.
+        engine = Engine("i-1", events=150, event_interval_s=0.01)
+        engine.migration_s = 0.1
+        await self.serve(engine, routes=[STREAM], services=NO_COPIES)
+        clients = [await self.client(number) for number in range(2)]
+        for number, client in enumerate(clients):
+            await client.send(method="POST", body=b"p", attempt=f"id-{1 - number}", **LONG)
+        await self.until(lambda: len(engine.generated_events) == 2)
+        await self.until(
+            lambda: all(len(r.state.members.alive(r.state.clock())) for r in self.relays)
+        )
+        await self.start_server(Engine("i-2", events=150))
+        await self.until(lambda: all(r.state.replicas.get("i-2") for r in self.relays))
+        handler = self.relays[1]._peers._row_handler
+        on_leaving = handler.on_server_leaving
+        loop = asyncio.get_running_loop()
+        handler.on_server_leaving = lambda change: loop.call_later(0.08, on_leaving, change)
+        self.store.put("servers", "i-1", engine.entry(state="draining"))
+        for client in clients:
+            self.assertTrue((await client.reply()).complete)
+        order = [move["id"] for move in engine.migrations]
+        self.assertEqual(order, ["id-1", "id-1", "id-0", "id-0"])
