--- a/src/lovageway/forwarding/relay.py
+++ b/src/lovageway/forwarding/relay.py
@@ -151,6 +151,9 @@
         telemetry.set("store_calls_made", self._peers.store_calls)
         telemetry.set("log_lines_left_out", self.log.left_out_total)
         telemetry.set("live_daemons", state.members.count(now))
+        telemetry.set("regions_without_load", len(state.regions_without_load(now)))
+        ages = [age_s for age_s, _ in state.load_tracker.regions(now).values()]
+        telemetry.set("region_load_age_seconds", max(ages, default=0.0))
         return 200, "text/plain; version=0.0.4", telemetry.text()
 
     # Periodic work.
--- a/src/lovageway/forwarding/state.py
+++ b/src/lovageway/forwarding/state.py
@@ -129,6 +129,16 @@
         work = work._replace(remote_loads_stale=self.members.is_large(now))
         return placement.choose(work, entries, self.load_tracker, now, self.rng)
 
+    def regions_without_load(self, now: float) -> set[str]:
+        """Return the other regions whose load is not known; empty in a small fleet.
+
+        In a small fleet the daemons of other regions report their load themselves.
+        """
+        if not self.members.is_large(now):
+            return set()
+        others = set(self.cfg.regions_of_zones.values()) - {self.cfg.region}
+        return others - self.load_tracker.regions(now).keys()
+
     def pump(self) -> None:
         """Retry the placement of waiting requests after capacity became free."""
         if len(self.admission_queue):
--- a/src/lovageway/forwarding/telemetry.py
+++ b/src/lovageway/forwarding/telemetry.py
@@ -35,6 +35,8 @@
     "running_requests": "Requests in progress.",
     "store_calls_made": "Calls to the platform's store since the start.",
     "log_lines_left_out": "Log lines left out since the start, to stay within the bound.",
+    "regions_without_load": "Other regions whose load is not known, in a large fleet.",
+    "region_load_age_seconds": "Age of the oldest load of another region, in a large fleet.",
     "live_daemons": "Daemons that are alive, this one included.",
 }
 HISTOGRAMS: dict[str, tuple[str, tuple[str, ...], tuple[float, ...]]] = {
--- a/src/lovageway/logcommands.py
+++ b/src/lovageway/logcommands.py
@@ -51,3 +51,21 @@
     typer.echo(f"{'requests':>8}  {'outcome':<22} route")
     for (route, outcome), count in counts.most_common():
         typer.echo(f"{count:>8}  {outcome:<22} {route}")
+
+
+@app.command()
+def losses(
+    files: Files,
+    first_s: Annotated[float, typer.Option(help="Target time to the first event or answer.")],
+    pause_s: Annotated[float, typer.Option(help="Target for the longest pause in a stream.")],
+    as_json: AsJson = False,
+) -> None:
+    """Count the requests that were lost or late, by cause, route, size and window of 2 s."""
+    counts = logreader.losses(_lines(files), first_s, pause_s)
+    if as_json:
+        rows = [{**loss._asdict(), "requests": count} for loss, count in counts.most_common()]
+        typer.echo(json.dumps(rows))
+        return
+    typer.echo(f"{'requests':>8}  {'window':>6}  {'size':<8} {'cause':<28} route")
+    for loss, count in sorted(counts.items()):
+        typer.echo(f"{count:>8}  {loss.window:>6}  {loss.size:<8} {loss.cause:<28} {loss.route}")
--- a/tests/fleetworld.py
+++ b/tests/fleetworld.py
@@ -176,7 +176,7 @@
             ip=ip,
             zone=region,
             region=region,
-            regions_of_zones={},
+            regions_of_zones={zone: zone for zone in self.region.values()},
             listen=address,
             ready_listen=address,
             control_listen=None,
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -67,6 +67,25 @@
                     share = known / sum(load.requests for load in truth.values())
                     self.assertGreaterEqual(share, MIN_KNOWN_SHARE, ip)
                     self.assertLessEqual(share, 1.0, ip)
+                    self.assertEqual(world.state(ip).regions_without_load(now), set(), ip)
+
+        run(scenario)
+
+    def test_a_region_that_is_cut_off_is_shown_to_operators(self):
+        # Guards against a daemon that silently takes the engines of a region for idle.
+        async def scenario(worlds):
+            world = await started(worlds, DAEMONS)
+            await asyncio.sleep(4.0)
+            world.mute = {ip for ip in world.ips if world.region[ip] == "r2"}
+            await asyncio.sleep(3.0)
+            for ip in set(world.ips) - world.mute:
+                lost = world.state(ip).regions_without_load(world.loop.time())
+                self.assertEqual(lost, {"r2"}, ip)
+            world.mute = set()
+            await asyncio.sleep(6.0)
+            for ip in world.ips:
+                lost = world.state(ip).regions_without_load(world.loop.time())
+                self.assertEqual(lost, set(), ip)
 
         run(scenario)
 
