--- a/src/lovageway/forwarding/gossip.py
+++ b/src/lovageway/forwarding/gossip.py
@@ -258,8 +258,8 @@
         """Handle a datagram.
 
         One that is malformed is rejected, and so is one whose sender field does not match its
-        source address. `Rows`, `MigrationStarted` and `MigrationDone` have no
-        sender field and are not checked.
+        source address. `Rows`, `MigrationStarted` and `MigrationDone` have no sender field
+        and are not checked.
         """
         message = decode(data)
         if message is None or _sender(message) not in (None, addr[0]):
--- a/src/lovageway/forwarding/pacing.py
+++ b/src/lovageway/forwarding/pacing.py
@@ -18,6 +18,11 @@
         Time over which a round is spread.
     slot_s
         Time between two groups of datagrams.
+
+    Attributes
+    ----------
+    slot_s
+        As passed; the caller sends the next group after this time.
     """
 
     def __init__(self, spread_s: float, slot_s: float) -> None:
--- a/src/lovageway/forwarding/peers.py
+++ b/src/lovageway/forwarding/peers.py
@@ -24,7 +24,7 @@
 LOAD_ADDED_BURST = 120.0
 # Every third total that an aggregator sends to its region includes the load of other regions.
 OTHER_REGIONS_EVERY_N_TOTALS = 3
-# An aggregator's round of totals is spread over most of the 0.5 s until the next one.
+# An aggregator spreads each round of totals over most of the 0.5 s until the next one.
 TOTALS_SPREAD_S = 0.4
 TOTALS_SLOT_S = 0.01
 MEMBERS_TABLE = "daemons"
@@ -268,7 +268,7 @@
             else:
                 self._send(heartbeat._replace(loads=total, daemons=daemons, other_regions=()), [ip])
         loop = asyncio.get_running_loop()
-        self._totals_timer = loop.call_later(TOTALS_SLOT_S, self._send_next_totals)
+        self._totals_timer = loop.call_later(self._totals_round.slot_s, self._send_next_totals)
 
     def send_heartbeat_to_region(self) -> None:
         """Send a heartbeat to every daemon of the region after a change of state."""
