--- a/src/lovageway/forwarding/request.py
+++ b/src/lovageway/forwarding/request.py
@@ -98,6 +98,11 @@
         inbound = self.inbound
         return fingerprint(self.account_name, inbound.method, inbound.target, inbound.body)
 
+    def part_ids(self) -> list[str]:
+        """Return the ids of the parts that other requests share: all but the last one."""
+        generation = self.head.generation
+        return [part for part, _ in generation.parts[:-1]] if generation is not None else []
+
     def left_s(self) -> float:
         """Return the time until the deadline, in seconds."""
         return self.deadline_at - self.state.clock()
--- a/src/lovageway/forwarding/streams.py
+++ b/src/lovageway/forwarding/streams.py
@@ -68,6 +68,7 @@
         self.event_timing = request.event_timing = StreamTiming()
         self.last_id: int | None = None  # id of the last event passed to the client
         self.sent_at = 0.0
+        self.begun = False  # whether an event arrived in the current attempt
         self._pending_prompt = 0  # prompt tokens that the engine has yet to process
         self.migrator: Migrator | None = None
         self.task: asyncio.Task[CopiedGeneration | None] | None = None  # of the migration
@@ -143,6 +144,7 @@
         counted = handover is not None and handover.counted
         self.entry = entry
         self.sent_at = self.state.clock()
+        self.begun = False
         self._choose_checkpoint(entry)
         self._log_placed(entry)
         self._pending_prompt = self._prompt_tokens() if handover is None else 0
@@ -286,6 +288,7 @@
     def _pass_event(self, head: AnswerHead, data: bytes, event_id: int | None) -> None:
         """Pass an event on unless the client has already received it."""
         now = self.state.clock()
+        self.begun = True
         if event_id is not None and self.last_id is not None and event_id <= self.last_id:
             return
         if not self.started:
@@ -320,6 +323,8 @@
         if head is None or not complete:
             if self.task is None:
                 entry.on_failure(now)
+            if crashed:
+                self._log_broken(entry)
             if self.task is None and crashed:
                 self.state.poison.on_disconnect(self.request.fingerprint, entry.token, now)
             return AttemptResult(Outcome.BROKEN, head, b"")
@@ -338,6 +343,20 @@
         self.conn.end()
         return AttemptResult(Outcome.ANSWERED, head, b"")
 
+    def _log_broken(self, entry: Entry) -> None:
+        """Write a line on an answer that the engine ended early, with the parts of the prompt."""
+        request, state = self.request, self.state
+        state.telemetry.add("broken_attempts", "yes" if self.begun else "no")
+        state.log(
+            "attempt_broken",
+            id=request.head.attempt_id,
+            server=entry.id,
+            leaving=entry.leaving,
+            begun=self.begun,
+            ms=round((state.clock() - self.sent_at) * 1000),
+            parts=request.part_ids(),
+        )
+
     def _end_failed(self, last: AttemptResult, refusal: Refusal | None) -> None:
         """Abort a started stream that cannot be completed, or send the final answer."""
         request = self.request
--- a/src/lovageway/forwarding/telemetry.py
+++ b/src/lovageway/forwarding/telemetry.py
@@ -20,6 +20,10 @@
     "forward_refusals": ("Answers that the daemon itself gave, by result code.", ("code",)),
     "forward_attempts": ("Attempts at backend servers, by how they ended.", ("outcome",)),
     "answers_rejected": ("Answers of servers that were not taken, by fault.", ("fault",)),
+    "broken_attempts": (
+        "Attempts whose server ended the answer, by whether an event had arrived.",
+        ("begun",),
+    ),
     "forward_repeats": ("Repeats by whether the budget allowed them.", ("allowed",)),
     "generation_moves": ("Moves of running generations, by result.", ("result",)),
     "protocol_errors": ("Client input that could not be served, by status.", ("status",)),
