--- a/standins/replica.py
+++ b/standins/replica.py
@@ -172,6 +172,9 @@
     generations to the number of their last event, and `kv_caches` does the same for the KV caches
     copied to this engine, by handle. A migration request (`/kv-move`) copies a KV cache to another
     engine of `fleet`, in `migration_s`; `migration_status` other than 200 rejects these requests.
+
+    A request with one of `crashing_parts` in its prompt ends the engine after the head of the
+    response: the listener closes and every connection is reset. `restart` starts it again.
     """
 
     service = "llm"
@@ -191,6 +194,23 @@
         self.freed_paths = []  # paths of requests to free a copied KV cache
         self.replayed_events = 0  # events that a resumed stream sends again before new ones
         self.generated_events = {}
+        self.crashing_parts = set()
+        self.crashes = []  # attempts that ended the engine
+        self.started_at_ms = 1700000000000
+
+    def entry(self, **fields):
+        return super().entry(**{"born": self.started_at_ms, **fields})
+
+    def crash(self):
+        """Close the listener and reset every connection."""
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def restart(self):
+        """Start again at the same address, as a new start of the engine."""
+        self.started_at_ms += 1
+        return await self.start(self.port)
 
     def event(self, attempt, number):
         """Return one event of a stream."""
@@ -237,6 +257,14 @@
             return True
         if source is not None:
             self.continuations.append(attempt)
+        parts = request.headers.get("prompt-prefix", "").split(",")
+        if self.crashing_parts & {part.partition(":")[0] for part in parts}:
+            headers = [("Attempt-Id", attempt), SIGNATURE]
+            writer.write(answer(200, b"", headers, length=False))
+            await writer.drain()
+            self.crashes.append(attempt)
+            self.crash()
+            return False
         if self.behaviour == "endless_event":
             begin = CHUNKED + b"c\r\nid: 1\ndata: \r\n"
             await self.send_endlessly(begin, b"400\r\n" + KIB + b"\r\n", attempt, writer)
