Treat a stream that ends inside an event as broken off

What clients could get: a stream framed as complete whose last event was cut, or with the text of an error after its events when the engine that continues it answers 200 with something that is no event; an empty 200 from an engine that closed an unframed answer before any event.

Cause: the end of an answer decided alone; the bytes after the last whole event were passed on and the stream ended. Change: a stream is complete only between events. Without a length or chunks it also needs one event. tests.test_server_faults.BrokenOff: four tests, of which three fail before (text, cut with and without framing, no event); that an answer which ends within its head is a failure, and that 5xx, refusals, unsigned, coded and unreadable answers do not get into a stream, they show for the code before too.

--- a/src/lovageway/forwarding/streams.py
+++ b/src/lovageway/forwarding/streams.py
@@ -257,7 +257,8 @@
                 head = part.head
             if part.end:
                 crashed = exchange.fault is None
-                return self._classify(entry, head, bytes(body), splitter, part.complete, crashed)
+                complete = part.complete and not self._is_cut_off(head, splitter, exchange)
+                return self._classify(entry, head, bytes(body), splitter, complete, crashed)
             if head is None:
                 continue
             if head.status != 200 or not is_authentic(head):
@@ -280,6 +281,19 @@
             if events:
                 until = state.clock() + self._stall_timeout_s()
 
+    def _is_cut_off(
+        self, head: AnswerHead | None, splitter: EventSplitter, exchange: Exchange
+    ) -> bool:
+        """Return whether a stream ended inside an event, or before any that its end could confirm.
+
+        A complete answer without events is passed on only as a whole, not within a stream.
+        """
+        if head is None or head.status != 200 or head.not_run or not is_authentic(head):
+            return False
+        if splitter.rest.strip():
+            return self.started or exchange.ended_by_close
+        return exchange.ended_by_close and not self.begun
+
     def _stall_timeout_s(self) -> float:
         """Return the time to wait for the next event; the first one may take until the deadline."""
         left = self.request.left_s() - ANSWER_MARGIN_S
--- a/tests/test_server_faults.py
+++ b/tests/test_server_faults.py
@@ -250,3 +250,104 @@
             self.assertIs(conn, await pool.acquire("key", address, "id-3"))
         pool.release("key", conn)
         self.assertIsNot(conn, await pool.acquire("key", address, "id-1"))
+
+
+class BrokenOff(RelayCase):
+    """Guards against answers that ended early and look complete to the client."""
+
+    async def ask_stream(self, target="/s/x", **fields):
+        return await self.ask(
+            method="POST", target=target, body=b"p", Token_Usage="90,50", **fields
+        )
+
+    async def test_an_error_of_the_next_engine_does_not_get_into_a_broken_stream(self):
+        # Guards against the text of an error, or its head, between the events of a stream, and
+        # against a stream that ends as complete with it.
+        engines = [Engine("i-1", "127.0.0.1"), Engine("i-2", "127.0.0.2")]
+        await self.serve(*engines, routes=[{**STREAM, "stream_resume": True, "max_attempts": 2}])
+        faults = ("fail", "busy", "unsigned", "coded", "garbage", "text", "no_event", "shed")
+        for behaviour in faults:
+            with self.subTest(behaviour=behaviour):
+                self.runs = 0
+                for engine in engines:
+                    engine.behaviour, engine.requests = "ok", []
+                    engine.run = self.run_twice(engine, engines, behaviour)
+                reply = await self.ask_stream(attempt=f"id-{behaviour}", target=f"/s/{behaviour}")
+                self.assertEqual(reply.status, 200)
+                self.assertEqual(reply.body, b"id: 1\ndata: token 1\n\n")
+                self.assertFalse(reply.complete)
+                self.assertGreaterEqual(sum(len(engine.requests) for engine in engines), 2)
+
+    def run_twice(self, engine, engines, behaviour):
+        """Return a run that breaks off after an event, and answers with a fault the second time."""
+
+        async def run(asked, attempt, writer):
+            self.runs += 1
+            if self.runs == 1:
+                engine.reset_after_events = 1
+                broken = await Engine.run(engine, asked, attempt, writer)
+                for each in engines:
+                    each.behaviour, each.reset_after_events = behaviour, None
+                return broken
+            headers = [("Attempt-Id", attempt), SIGNATURE]
+            if behaviour == "text":
+                writer.write(answer(200, b"the engine failed", headers))
+                return True
+            if behaviour == "no_event":
+                writer.write(answer(200, b"", headers, length=False))
+                await writer.drain()
+                return False
+            return await Replica.run(engine, asked, attempt, writer)
+
+        return run
+
+    async def test_an_answer_that_ends_within_its_head_is_a_failure(self):
+        # Guards against a 200 with an empty body, framed as complete.
+        server = Replica()
+        await self.serve(server, routes=[route(max_attempts=1), STREAM])
+        whole = "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nReplica-Signature: s\r\n"
+        for end in ("", "Content-Length: 5", "Content-Length: 5\r\n", "Transfer-Enc", "\r"):
+            with self.subTest(end=end):
+
+                async def run(asked, attempt, writer, end=end):
+                    writer.write((whole % attempt + end).encode())
+                    await writer.drain()
+                    return False
+
+                server.run = run
+                self.assertEqual((await self.ask(target=f"/a/{len(end)}")).status, 502)
+
+    async def test_a_stream_without_framing_is_complete_only_between_events(self):
+        # Guards against a stream that ends with its connection inside an event, or before any.
+        event = b"id: 1\ndata: token\n\n"
+        cases = {event: True, event + b"id: 2\nda": False, b"id: 1\nda": False, b"": False}
+        engine = Engine()
+        await self.serve(engine, routes=[STREAM])
+        for number, (body, complete) in enumerate(cases.items()):
+            with self.subTest(body=body):
+
+                async def run(asked, attempt, writer, body=body):
+                    headers = [("Attempt-Id", attempt), SIGNATURE]
+                    writer.write(answer(200, body, headers, length=False))
+                    await writer.drain()
+                    return False
+
+                engine.run = run
+                reply = await self.ask_stream(attempt=f"id-{number}")
+                self.assertEqual(reply.complete and reply.status == 200, complete)
+                self.assertNotIn(b"da", reply.body.replace(event, b"") if not complete else b"")
+
+    async def test_a_stream_with_framing_that_ends_inside_an_event_is_broken_off(self):
+        # Guards against a last event that is cut, in a stream that looks complete.
+        engine = Engine()
+        await self.serve(engine, routes=[STREAM])
+
+        async def run(asked, attempt, writer):
+            headers = [("Attempt-Id", attempt), SIGNATURE]
+            writer.write(answer(200, b"id: 1\ndata: token\n\nid: 2\nda", headers))
+            return True
+
+        engine.run = run
+        reply = await self.ask_stream()
+        self.assertFalse(reply.complete)
+        self.assertEqual(reply.body, b"id: 1\ndata: token\n\n")
