Do not send a request again after two servers crashed with one of its traits

Cause: on routes that may be repeated, a daemon sent a request that had crashed an engine to the next one at once. Change: a broken attempt is repeated only while at most one server crashed with each of its traits since the trait was last answered. The test fails before with three crashes for one request, of three engines.

--- a/src/lovageway/forwarding/forwarder.py
+++ b/src/lovageway/forwarding/forwarder.py
@@ -120,6 +120,8 @@
             return False
         if outcome is Outcome.NOT_SENT:
             return True
+        if outcome is Outcome.BROKEN and self.state.poison.is_implicated(request.traits):
+            return False
         if outcome is not Outcome.NOT_RUN and (
             not request.idempotent or request.possible_runs >= request.route.max_attempts
         ):
--- a/src/lovageway/forwarding/poison.py
+++ b/src/lovageway/forwarding/poison.py
@@ -252,6 +252,14 @@
                 return trait
         return None
 
+    def is_implicated(self, traits: Iterable[Trait]) -> bool:
+        """Return whether several servers crashed with a trait since it was last answered.
+
+        One more server would be at risk if such a request were sent again.
+        """
+        records = (self._records.get(trait.mark) for trait in traits)
+        return any(record is not None and len(record.crashes) > 1 for record in records)
+
     def take_trial(self, mark: bytes, now: float) -> bool:
         """Return whether one request with a suspect may be sent now, and count it if so."""
         record = self._records[mark]
--- a/tests/test_poison_parts.py
+++ b/tests/test_poison_parts.py
@@ -5,7 +5,9 @@
 
 from standins.replica import Engine
 
-from tests.relayworld import RelayCase, route
+from lovageway.codes import Code
+from lovageway.forwarding.poison import MIN_CRASHES, TRIAL_DELAY_S, part_traits
+from tests.relayworld import RelayCase, engine_service, route
 
 STREAM = route(
     route_kind="streaming", service="llm", timeout_ms=20000, sticky_sessions=True, max_attempts=1
@@ -75,3 +77,92 @@
         error = json.loads(reply.body)["error"]
         self.assertEqual((reply.status, error["ran"]), (503, "no"))
         self.assertNotIn("retry-after", reply.headers)
+
+    async def test_a_daemon_does_not_send_a_request_again_after_a_second_crash(self):
+        # Guards against daemons that multiply the crashes by sending such requests to one engine
+        # after another, on routes that allow it.
+        await self.start_fleet(stream_resume=True, max_attempts=5)
+        self.engines[0].crashing_parts = self.engines[1].crashing_parts = {CRASHING}
+        reply = await self.ask_with(FIRST, CALLER, CRASHING)
+        self.assertEqual(reply.status, 502)
+        self.assertEqual(self.crashes(), 2)
+
+    async def test_a_repaired_part_returns_to_service_at_every_daemon(self):
+        # Guards against a part that stays held back after the engines were repaired: one request
+        # tries it, and its answer counts for all daemons.
+        await self.start_fleet()
+        for _ in range(MIN_CRASHES):
+            await self.ask_with(FIRST, CALLER, CRASHING)
+            await self.restart_crashed()
+            await asyncio.sleep(INTERVAL_S)
+        for _ in range(self.daemons):
+            reply = await self.ask_with(FIRST, CALLER, CRASHING)
+            self.assertEqual(json.loads(reply.body)["error"]["code"], Code.PROMPT_HELD)
+        for engine in self.engines:
+            engine.crashing_parts = set()
+        for relay in self.relays:
+            for record in relay.state.poison._records.values():
+                record.crashes = {s: at - TRIAL_DELAY_S for s, at in record.crashes.items()}
+        replies = [await self.ask_with(FIRST, CALLER, CRASHING) for _ in range(self.daemons)]
+        self.assertEqual(sorted(reply.status for reply in replies)[0], 200)
+        await self.until(lambda: not any(r.state.poison.held(0.0) for r in self.relays))
+        self.assertEqual((await self.ask_with(FIRST, CALLER, CRASHING)).status, 200)
+
+    async def test_a_part_stays_held_back_after_all_daemons_were_killed(self):
+        # Guards against crashes that begin again when no daemon remembers them.
+        await self.start_fleet()
+        for _ in range(MIN_CRASHES):
+            await self.ask_with(FIRST, CALLER, CRASHING)
+            await self.restart_crashed()
+            await asyncio.sleep(INTERVAL_S)
+        await self.until(lambda: any(table == "suspects" for table, _ in self.store.rows))
+        for relay in self.relays:
+            await relay.close()
+        self.relays = []
+        for number in range(self.daemons):
+            relay = await self.start_relay(number)
+            await self.until(lambda relay=relay: relay.state.configured.is_set())
+            await self.until(lambda relay=relay: relay.state.poison.held(0.0))
+        for _ in range(self.daemons):
+            self.assertEqual((await self.ask_with(FIRST, CALLER, CRASHING)).status, 503)
+        self.assertEqual(self.crashes(), MIN_CRASHES)
+
+    async def test_a_removed_row_releases_a_part(self):
+        # Guards against operators who cannot return a part to service.
+        await self.start_fleet()
+        for _ in range(MIN_CRASHES):
+            await self.ask_with(FIRST, CALLER, CRASHING)
+            await self.restart_crashed()
+            await asyncio.sleep(INTERVAL_S)
+        await self.until(lambda: any(table == "suspects" for table, _ in self.store.rows))
+        spread = self.relays[0]._peers._poison_spread
+        await spread.read_store()
+        for table, key in list(self.store.rows):
+            if table == "suspects":
+                self.store.put(table, key, None)
+        await spread.read_store()
+        await self.until(lambda: not any(r.state.poison.held(0.0) for r in self.relays))
+
+    async def test_a_waiting_request_is_refused_when_its_part_becomes_a_suspect(self):
+        # Guards against a request that waits in the queue although it is known not to be served.
+        engine = Engine("i-1", "127.0.0.1")
+        engine.behaviour = "hold"
+        self.daemons = 1
+        self.hosts = self.hosts[:1]
+        services = [engine_service(slots=1)]
+        await self.serve(engine, routes=[STREAM], services=services)
+        state = self.relays[0].state
+        self.sent = 0
+        traits = part_traits("llm", [CRASHING])
+        running = asyncio.create_task(self.ask_with(FIRST))
+        await self.until(lambda: engine.executions)
+        state.choose = lambda work, regions: None
+        waiting = asyncio.create_task(self.ask_with(FIRST, CRASHING))
+        await self.until(lambda: len(state.admission_queue))
+        now = state.clock()
+        for number in range(MIN_CRASHES):
+            state.poison.on_crash(traits, bytes([number]), now - number)
+        reply = await asyncio.wait_for(waiting, 2.0)
+        self.assertEqual(json.loads(reply.body)["error"]["code"], Code.PROMPT_HELD)
+        engine.released.set()
+        await running
