--- a/src/lovageway/forwarding/poison.py
+++ b/src/lovageway/forwarding/poison.py
@@ -21,6 +21,7 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 from hashlib import blake2b
+from itertools import islice
 from typing import NamedTuple
 
 MIN_CRASHES = 3
@@ -44,6 +45,7 @@
 MAX_CRASHES_PER_SUSPECT = 6  # in a message; enough for MIN_CRASHES_ANSWERED
 MAX_CRASHES_PER_RECORD = 32
 MAX_RECORDS = 4096
+EVICTION_CANDIDATES = 16  # the oldest records, of which the one with the fewest crashes goes first
 MAX_ANSWERED = 4096  # traits whose last answer is remembered
 MAX_PARTS = 64  # parts of one prompt that are examined
 MAX_LABEL = 64  # characters
@@ -132,7 +134,7 @@
         # Set once there were enough incidents. Daemons may count them differently, as ages are
         # rounded, but agree on the number of crashes.
         self.condemned = False
-        self.stored = False
+        self.stored_at: float | None = None  # since when the store is known to have a row of it
         self.changed_at = now
 
     @property
@@ -197,7 +199,7 @@
     def __init__(self) -> None:
         self._records: dict[bytes, _Record] = {}
         self._answered: OrderedDict[bytes, float] = OrderedDict()  # last answers of shared parts
-        self._crashed: set[bytes] = set()  # servers that a record names or named
+        self._marks: dict[bytes, set[bytes]] = {}  # by server that crashed
         # By server that was thought to have crashed: when the latest request that it answered
         # was sent, and when this became known here.
         self._alive: dict[bytes, tuple[float, float]] = {}
@@ -210,9 +212,13 @@
 
     def on_crash(self, traits: Iterable[Trait], server: bytes, now: float) -> None:
         """Record a server that ended before it answered a request with these traits."""
-        self._crashed.add(server)
         for mark, label, _ in traits:
-            self._is_stale |= self._record(mark, label, now).add(server, now, now)
+            self._add(mark, label, server, now, now)
+
+    def _add(self, mark: bytes, label: str, server: bytes, at: float, now: float) -> None:
+        if self._record(mark, label, now).add(server, at, now):
+            self._marks.setdefault(server, set()).add(mark)
+            self._is_stale = True
 
     def on_answer(self, traits: Iterable[Trait], now: float) -> None:
         """Record that a server began to answer a request with these traits."""
@@ -228,15 +234,19 @@
 
     def on_server_answer(self, server: bytes, sent_at: float, now: float) -> None:
         """Remove the crashes of a server that answered a request sent after them."""
-        if server not in self._crashed:
-            return
-        found = [r for r in self._records.values() if r.crashes.get(server, now) < sent_at]
+        found = [
+            record
+            for mark in self._marks.get(server, ())
+            if (record := self._records.get(mark)) is not None
+            and record.crashes.get(server, now) < sent_at
+        ]
         for record in found:
             del record.crashes[server]
             record.changed_at = now
-        _, known_at = self._alive.get(server, (0.0, now))
-        self._alive[server] = (sent_at, now if found else known_at)
-        self._is_stale |= bool(found)
+            self._is_stale = True
+        if found or server in self._alive:
+            _, known_at = self._alive.get(server, (0.0, now))
+            self._alive[server] = (sent_at, now if found else known_at)
 
     # Decisions.
 
@@ -271,11 +281,18 @@
         return True
 
     def release(self, mark: bytes, now: float) -> None:
-        """Return a suspect to service, as an answer would."""
+        """Return a suspect to service, with those that the same crashes support equally."""
+        self._refresh()
         record = self._records.get(mark)
-        if record is not None:
-            record.stored = False
-            self._is_stale |= record.answer(now, now)
+        if record is None:
+            return
+        crashes = record.crashes.keys()
+        equals = [
+            m for m in self._suspects.get(mark, ()) if self._records[m].crashes.keys() == crashes
+        ]
+        for released in (mark, *equals):
+            self._records[released].answer(now, now)
+        self._is_stale = True
 
     def _refresh(self) -> None:
         """Compute the suspects again after a change."""
@@ -302,8 +319,8 @@
         record = self._records.get(mark)
         if record is None:
             if len(self._records) >= MAX_RECORDS:
-                items = self._records.items()
-                del self._records[min(items, key=lambda i: (len(i[1].crashes), i[1].newest))[0]]
+                oldest = list(islice(self._records.items(), EVICTION_CANDIDATES))
+                del self._records[min(oldest, key=lambda item: len(item[1].crashes))[0]]
             record = self._records[mark] = _Record(label, now)
             record.answered_at = self._answered.get(mark, record.answered_at)
         return record
@@ -328,8 +345,10 @@
         expired = [s for s, (_, known_at) in self._alive.items() if now - known_at > RETENTION_S]
         for server in expired:
             del self._alive[server]
-        self._crashed = {server for r in self._records.values() for server in r.crashes}
-        self._crashed |= self._alive.keys()
+        self._marks = {}
+        for mark, record in self._records.items():
+            for server in record.crashes:
+                self._marks.setdefault(server, set()).add(mark)
         return changes
 
     def held(self, now: float) -> list[Held]:
@@ -352,7 +371,7 @@
         return [
             (mark, self._suspect(mark, self._records[mark], now))
             for mark in self._suspects
-            if not self._records[mark].stored
+            if self._records[mark].stored_at is None
         ]
 
     def last_crash_at(self, mark: bytes) -> float:
@@ -362,19 +381,27 @@
 
     def to_remove(self) -> list[bytes]:
         """Return the traits that have a row in the store and whose crashes were refuted."""
-        return [m for m, r in self._records.items() if r.stored and len(r.crashes) < MIN_CRASHES]
+        records = self._records.items()
+        return [m for m, r in records if r.stored_at is not None and len(r.crashes) < MIN_CRASHES]
+
+    def stored_for(self, age_s: float, now: float) -> list[bytes]:
+        """Return the suspects whose rows are known for at least `age_s`."""
+        self._refresh()
+        records = ((mark, self._records[mark].stored_at) for mark in self._suspects)
+        return [mark for mark, at in records if at is not None and now - at >= age_s]
 
-    def set_stored(self, mark: bytes, stored: bool) -> None:
-        """Record whether the store has a row of a trait."""
+    def set_stored(self, mark: bytes, stored_at: float | None) -> None:
+        """Record since when the store has a row of a trait; None if it has none."""
         if mark in self._records:
-            self._records[mark].stored = stored
+            self._records[mark].stored_at = stored_at
 
     def on_stored(self, mark: bytes, label: str, servers: Iterable[bytes], now: float) -> None:
         """Take a suspect from the store; the ages of its crashes are not known there."""
         record = self._record(mark, label, now)
-        record.stored = record.condemned = True
+        record.condemned = True
+        record.stored_at = now
         for number, server in enumerate(servers):
-            record.add(server, now - number * SAME_INCIDENT_S, now)
+            self._add(mark, label, server, now - number * SAME_INCIDENT_S, now)
         self._is_stale = True
 
     # Other daemons.
@@ -399,15 +426,15 @@
                 self._is_stale |= record.answer(at, now)
         for server, age_ms in suspect.crashes:
             at = now - age_ms / 1000
-            self._crashed.add(server)
             alive_at, _ = self._alive.get(server, (float("-inf"), now))
             if at > alive_at:
-                self._is_stale |= record.add(server, at, now)
+                self._add(suspect.mark, suspect.label, server, at, now)
             else:
                 self._alive[server] = (alive_at, now)  # the sender does not know it yet
         record.trials = max(record.trials, suspect.trials) if record.crashes else 0
         if len(record.crashes) >= MIN_CRASHES:
-            record.stored |= suspect.stored
+            if suspect.stored and record.stored_at is None:
+                record.stored_at = now
             self._is_stale |= suspect.condemned and not record.condemned
             record.condemned |= suspect.condemned
 
@@ -449,5 +476,5 @@
             int(1000 * (now - record.answered_at)) if answered else None,
             record.trials,
             record.condemned,
-            record.stored,
+            record.stored_at is not None,
         )
--- a/src/lovageway/forwarding/poisonspread.py
+++ b/src/lovageway/forwarding/poisonspread.py
@@ -1,7 +1,7 @@
 """Spreads what a daemon knows of crashes: to the other daemons, and suspects to the store.
 
-Suspects are rows of the store, so that they outlive a stop of all daemons at once. A row that was
-there and is not there any more returns its suspect to service: operators remove it for that.
+Suspects are rows of the store, so that they outlive a stop of all daemons at once. Operators remove
+a row to return its suspect to service.
 """
 
 from collections.abc import Sequence
@@ -9,6 +9,7 @@
 import msgpack  # type: ignore[import-untyped]
 
 from lovageway.forwarding import gossip
+from lovageway.forwarding.model import Row
 from lovageway.forwarding.poison import MAX_LABEL, Suspect
 from lovageway.forwarding.state import State
 from lovageway.forwarding.storewatch import StoreClient, StoreError
@@ -18,11 +19,13 @@
 MAX_ROWS = 256
 BYTES_PER_S = 8000.0  # sent to other daemons, in all
 BURST_BYTES = 128_000.0
-REPEATS_PER_S = 10.0  # datagrams with suspects that did not change
+NEWS_REUSE_S = 0.1  # one message serves the groups of receivers of a round
+REPEATS_PER_S = 8.0  # datagrams with suspects that did not change
 # The first daemon in an order that differs by suspect writes its row, the next ones if it does not.
 WRITE_WAIT_S = 2.0
 REMOVERS = 2  # this many daemons remove the row of a suspect that was answered
 RETRY_S = 1.0  # after a failed write
+STALE_READ_S = 10.0  # a row that is younger may be missing in an answer of the store
 
 
 def encode_row(suspect: Suspect) -> bytes:
@@ -40,7 +43,9 @@
     """
     try:
         label, servers = msgpack.unpackb(value)
-        return str(label)[:MAX_LABEL], [bytes(server) for server in servers]
+        if not all(isinstance(server, bytes) for server in servers):
+            raise ValueError(f"servers are not bytes: {servers!r}")
+        return str(label)[:MAX_LABEL], list(servers)
     except (TypeError, ValueError, msgpack.UnpackException) as exc:
         raise ValueError(f"unreadable suspect: {exc!r}") from exc
 
@@ -57,9 +62,11 @@
         self._port = port
         self._tokens = TokenBucket(BYTES_PER_S, BURST_BYTES)
         self._repeat_at = 0.0
+        self._news: bytes | None = None
+        self._news_until = 0.0
         self._writing = False
         self._write_at = 0.0
-        self._seen: set[bytes] = set()  # suspects with a row at the last reading
+        self._loaded = False
 
     def tick(self, now: float) -> None:
         """Report changed suspects, end the wait of requests with them and update the store."""
@@ -79,19 +86,27 @@
         """Send what changed to some daemons, within the limit of bytes."""
         if not ips:
             return
-        repeat = repeat or now >= self._repeat_at
-        news = self._state.poison.news(now, repeat=repeat)
-        if repeat:
+        if repeat or now >= self._repeat_at:
+            data = self._encode(now, repeat=True)
             self._repeat_at = now + len(ips) / REPEATS_PER_S
-        if news is None:
+        else:
+            if now >= self._news_until:
+                self._news, self._news_until = self._encode(now, repeat=False), now + NEWS_REUSE_S
+            data = self._news
+        if data is None:
             return
-        data = gossip.encode(gossip.Poison(self._state.cfg.ip, news))
         allowed = int(self._tokens.at(now) / len(data))
         if len(ips) > allowed:
             ips = self._state.rng.sample(list(ips), allowed)
         self._tokens.take(len(ips) * len(data))
         self._gossip.send(data, list(ips), self._port)
 
+    def _encode(self, now: float, *, repeat: bool) -> bytes | None:
+        news = self._state.poison.news(now, repeat=repeat)
+        if news is None:
+            return None
+        return gossip.encode(gossip.Poison(self._state.cfg.ip, news))
+
     # The store.
 
     async def read_store(self) -> None:
@@ -107,22 +122,25 @@
         state = self._state
         page = await self._client.read(SUSPECTS_TABLE)
         now = state.clock()
-        seen = set()
-        for row in page.rows[:MAX_ROWS]:
-            try:
-                mark = bytes.fromhex(row.key)
-                label, servers = decode_row(row.value or b"")
-            except ValueError as exc:
-                state.telemetry.add("rows_unreadable", SUSPECTS_TABLE)
-                state.log("row_unreadable", table=SUSPECTS_TABLE, key=row.key, cause=str(exc))
-                continue
-            seen.add(mark)
-            if mark not in self._seen:
-                state.poison.on_stored(mark, label, servers, now)
-        for mark in self._seen - seen:
-            state.poison.release(mark, now)
-            state.log("suspect_row_removed", mark=mark.hex())
-        self._seen = seen
+        if not self._loaded:
+            self._loaded = True
+            for row in page.rows[:MAX_ROWS]:
+                self._load(row, now)
+        rows = {row.key for row in page.rows}
+        for mark in state.poison.stored_for(STALE_READ_S, now):
+            if mark.hex() not in rows:
+                state.poison.release(mark, now)
+                state.log("suspect_released", mark=mark.hex())
+
+    def _load(self, row: Row, now: float) -> None:
+        """Take a suspect that was found before this daemon started."""
+        state = self._state
+        try:
+            label, servers = decode_row(row.value or b"")
+            state.poison.on_stored(bytes.fromhex(row.key), label, servers, now)
+        except ValueError as exc:
+            state.telemetry.add("rows_unreadable", SUSPECTS_TABLE)
+            state.log("row_unreadable", table=SUSPECTS_TABLE, key=row.key, cause=str(exc))
 
     async def _write_due(self, now: float) -> None:
         """Write the rows of new suspects and remove those of former ones."""
@@ -132,12 +150,11 @@
                 rank = state.members.rank(mark.hex())
                 if now - state.poison.last_crash_at(mark) >= rank * WRITE_WAIT_S:
                     await self._client.put(SUSPECTS_TABLE, mark.hex(), encode_row(suspect))
-                    state.poison.set_stored(mark, True)
+                    state.poison.set_stored(mark, state.clock())
             for mark in state.poison.to_remove():
                 if state.members.rank(mark.hex()) < REMOVERS:
                     await self._client.remove(SUSPECTS_TABLE, mark.hex())
-                    self._seen.discard(mark)
-                state.poison.set_stored(mark, False)
+                state.poison.set_stored(mark, None)
         except StoreError as exc:
             state.log("suspects_not_stored", cause=str(exc))
             self._write_at = state.clock() + RETRY_S
--- a/tests/test_poison_parts.py
+++ b/tests/test_poison_parts.py
@@ -7,6 +7,7 @@
 
 from lovageway.codes import Code
 from lovageway.forwarding.poison import MIN_CRASHES, TRIAL_DELAY_S, part_traits
+from lovageway.forwarding.poisonspread import STALE_READ_S, SUSPECTS_TABLE
 from tests.relayworld import RelayCase, engine_service, route
 
 STREAM = route(
@@ -60,6 +61,10 @@
                         == engine.started_at_ms
                     )
 
+    def stored_marks(self):
+        rows = self.store.rows.items()
+        return [key for (table, key), (_, value) in rows if table == SUSPECTS_TABLE and value]
+
     def crashes(self):
         return sum(len(engine.crashes) for engine in self.engines)
 
@@ -115,7 +120,7 @@
             await self.ask_with(FIRST, CALLER, CRASHING)
             await self.restart_crashed()
             await asyncio.sleep(INTERVAL_S)
-        await self.until(lambda: any(table == "suspects" for table, _ in self.store.rows))
+        await self.until(self.stored_marks)
         for relay in self.relays:
             await relay.close()
         self.relays = []
@@ -134,14 +139,18 @@
             await self.ask_with(FIRST, CALLER, CRASHING)
             await self.restart_crashed()
             await asyncio.sleep(INTERVAL_S)
-        await self.until(lambda: any(table == "suspects" for table, _ in self.store.rows))
+        await self.until(lambda: len(self.stored_marks()) == 3)  # all parts are suspects
         spread = self.relays[0]._peers._poison_spread
+        await self.until(lambda: len(spread._state.poison.stored_for(0.0, 1e9)) == 3)
+        released = part_traits("llm", [CRASHING])[0].mark.hex()
+        self.store.put(SUSPECTS_TABLE, released, None)
         await spread.read_store()
-        for table, key in list(self.store.rows):
-            if table == "suspects":
-                self.store.put(table, key, None)
+        self.assertTrue(self.relays[0].state.poison.held(0.0))  # the answer may be old
+        for mark in spread._state.poison.stored_for(0.0, 1e9):
+            spread._state.poison.set_stored(mark, spread._state.clock() - STALE_READ_S)
         await spread.read_store()
         await self.until(lambda: not any(r.state.poison.held(0.0) for r in self.relays))
+        await self.until(lambda: not self.stored_marks())
 
     async def test_a_waiting_request_is_refused_when_its_part_becomes_a_suspect(self):
         # Guards against a request that waits in the queue although it is known not to be served.
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -1,5 +1,6 @@
 """Tests of the detection of what crashes servers, by all daemons together."""
 
+import time
 import unittest
 from random import Random
 
@@ -312,6 +313,16 @@
         news = detector.news(1.2, repeat=True)
         self.assertLessEqual(len(news.suspects), MAX_SUSPECTS_PER_MESSAGE + 2)
 
+    def test_records_beyond_the_limit_cost_no_search_of_all(self):
+        # Guards against an event loop that stands still when a client sends many parts in requests
+        # whose connections are reset.
+        detector = PoisonDetector()
+        began = time.process_time()
+        for number in range(5 * MAX_RECORDS):
+            detector.on_crash(request(number), SERVERS[0], 1.0)
+            detector.on_server_answer(SERVERS[1], 0.5, 1.0)
+        self.assertLess(time.process_time() - began, 5.0)
+
     def test_the_largest_message_fits_a_datagram(self):
         detector = PoisonDetector()
         for name in range(40):
@@ -390,10 +401,10 @@
         for sender in self.fleet:
             for mark, suspect in sender.to_store(self.now):
                 self.rows[mark] = suspect
-                sender.set_stored(mark, True)
+                sender.set_stored(mark, self.now)
             for mark in sender.to_remove():
                 self.rows.pop(mark, None)
-                sender.set_stored(mark, False)
+                sender.set_stored(mark, None)
             peers = [peer for peer in self.fleet if peer is not sender and rng.random() >= loss]
             send(sender, peers, self.now)
 
