Play crashing parts, streams without framing, cut heads and copied refusals in the fault soak

A promise is broken if more than three engines end later than 3 s after the fifth, while no daemon is stopped, paused or cut off.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -9,6 +9,7 @@
 
 PAUSE_S = 0.03  # between two requests of a caller
 TIMEOUT_S = 12.0  # longer than the timeout of every route
+CRASHING_SHARE = 0.3  # of the streams, while a part of prompts crashes engines
 HEADERS = {"stream": {"Token_Usage": "100,400", "Length_Hint": "400", "Model": "m"}}
 METHODS = {"safe": "GET", "once": "POST", "stream": "POST"}
 
@@ -52,6 +53,7 @@
                     attempt=attempt,
                     Deadline_Ms="8000",
                     **HEADERS.get(kind, {}),
+                    Prompt_Prefix=self._prompt_parts(kind, attempt),
                 )
                 sent = True
                 reply = await self._client.reply()
@@ -64,6 +66,14 @@
             self.close()
         return result
 
+    def _prompt_parts(self, kind, attempt):
+        if kind != "stream":
+            return ""
+        parts = ["first", f"caller{self.number % 3}"]
+        if self.world.crashing_part and self.world.rng.random() < CRASHING_SHARE:
+            parts.append(self.world.crashing_part)
+        return ",".join(f"{part}:25" for part in (*parts, attempt))
+
     async def _connect(self, daemon):
         if daemon is not None and daemon is not self._daemon:
             self.close()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,12 +5,15 @@
 import time
 from typing import NamedTuple
 
-from standins.replica import ENDLESS
+from standins.replica import ENDLESS, UNFRAMED
 
 from soak.servers import EngineServer, PlainServer
 from soak.world import GRACE_PERIOD_S
 
-BEHAVIOURS = ("fail", "shed", "busy", "unsigned", "coded", "cut", "garbage", "hang", "reset")
+BEHAVIOURS = (
+    *("fail", "shed", "busy", "unsigned", "coded", "cut", "garbage", "hang", "reset"),
+    *("cut_head", "copied_refusal"),
+)
 # Behaviours that need a complete body, which a stream does not have.
 PLAIN_BEHAVIOURS = ("no_length", "extra", "late_other", "late_copy")
 STORE_MODES = ("busy", "many", "reset", "silent")
@@ -50,6 +53,7 @@
             *[self._misbehave] * MISBEHAVE_WEIGHT,
             self._server_leaves,
             self._server_crashes,
+            self._crashing_part,
             self._configuration,
             self._evacuation,
             self._compact,
@@ -162,7 +166,7 @@
         server = self.rng.choice(self.world.servers)
         plain = isinstance(server, PlainServer)
         common = (*BEHAVIOURS, *ENDLESS)
-        behaviour = self.rng.choice((*common, *PLAIN_BEHAVIOURS) if plain else common)
+        behaviour = self.rng.choice((*common, *(PLAIN_BEHAVIOURS if plain else UNFRAMED)))
 
         def set_behaviour(value):
             server.behaviour = value
@@ -207,6 +211,18 @@
     async def _server_crashes(self):
         await self._replace("crash", 1.0, lambda server: server.proxy.set_mode("cut"))
 
+    async def _crashing_part(self):
+        """Let callers send requests with a part that ends each engine which answers them."""
+
+        def set_part(part):
+            self.world.crashing_part = part
+
+        seconds = self.rng.uniform(3.0, 8.0)
+        part = f"bad{self.world.next_server}"
+        await self._apply_for(
+            "crashing part", "part", seconds, lambda: set_part(part), lambda: set_part(None)
+        )
+
     async def _configuration(self):
         def change():
             self.world.extra_route = not self.world.extra_route
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -9,6 +9,9 @@
 NOT_RUN = (408, 421, 429, 503)
 # Planned operations; they must not interrupt any request.
 PLANNED_FAULTS = ("stop", "reload", "configuration", "leave", "compact")
+CONTACT_S = 3.0
+MAX_LATE_CRASHES = 3
+OUT_OF_TOUCH_FAULTS = ("pause", "kill", "stop", "store", "link")
 _EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) (\d+)\n\n")
 
 
@@ -49,6 +52,29 @@
     return broken
 
 
+def check_crashes(crashes, faults):
+    """Return a line if requests with one part kept ending engines.
+
+    At most MAX_LATE_CRASHES may follow later than CONTACT_S after the fifth crash. Each interval of
+    the fault has a part of its own. Daemons that are stopped, or cut off from each other or the
+    store, need not know of the crashes, so intervals with such faults are not checked.
+    """
+    broken = []
+    for part in (fault for fault in faults.intervals if fault.kind == "crashing part"):
+        found = sorted(at for at in crashes if part.begin <= at <= part.end + CONTACT_S)
+        late = [at for at in found if len(found) >= 5 and at > found[4] + CONTACT_S]
+        others = [
+            fault
+            for fault in faults.intervals
+            if fault.kind.startswith(OUT_OF_TOUCH_FAULTS)
+            and fault.begin < part.end + CONTACT_S
+            and fault.end > part.begin - CONTACT_S
+        ]
+        if len(late) > MAX_LATE_CRASHES and not others:
+            broken.append(f"crashes: {len(late)} after a part was known to crash engines")
+    return broken
+
+
 def _count_executions(servers):
     """Return the number of executions by request.
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -7,7 +7,8 @@
 
 from soak.callers import Caller
 from soak.faults import Faults
-from soak.promises import check
+from soak.promises import check, check_crashes
+from soak.servers import EngineServer
 from soak.world import World
 
 CALLERS = 12
@@ -45,7 +46,10 @@
             caller.stopping = True
         await asyncio.gather(*tasks)
         broken = await _check_recovery(world, observed)
-        broken += check(observed, [*world.servers, *world.removed_servers], faults)
+        servers = [*world.servers, *world.removed_servers]
+        broken += check(observed, servers, faults)
+        engines = [server for server in servers if isinstance(server, EngineServer)]
+        broken += check_crashes([at for engine in engines for at in engine.crash_times], faults)
         for daemon in world.daemons:
             broken += [
                 f"{daemon.name}: ended by itself with {code}"
@@ -79,6 +83,7 @@
     while True:
         for daemon in world.daemons:
             daemon.check()
+        await world.restart_crashed()
         await asyncio.sleep(0.1)
 
 
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -6,6 +6,7 @@
 import time
 
 from standins.proxy import Proxy
+from standins.rawhttp import Listener
 from standins.replica import Engine, Replica
 
 EVENTS = 40  # of each stream
@@ -62,6 +63,18 @@
 
     def __init__(self, name, host="127.0.0.1", zone="z1"):
         super().__init__(name, host, zone, EVENTS, EVENT_INTERVAL_S)
+        self.crashed_at = None
+        self.crash_times = []
+
+    def crash(self):
+        self.crashed_at = time.monotonic()
+        self.crash_times.append(self.crashed_at)
+        super().crash()
+
+    async def restart(self):
+        self.crashed_at = None
+        self.started_at_ms += 1
+        return await Listener.start(self, self.port)
 
     def event(self, attempt, number):
         return event(attempt, number)
--- a/soak/world.py
+++ b/soak/world.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 from pathlib import Path
 
 import yaml
@@ -22,6 +23,7 @@
 DAEMONS = 4
 ZONES = ("z1", "z2", "z3")
 GRACE_PERIOD_S = 4.0
+ENGINE_RESTART_S = 0.5  # after a request ended an engine
 BOUNDS = {"drain_ms": 1500, "grace_period_s": GRACE_PERIOD_S, "contact_ms": 2000, "ttl_max_s": 2}
 READY_TIMEOUT_S = 20.0  # for the start of a daemon, on a busy machine
 _PEAK_MEMORY = re.compile(r"VmHWM:\s+(\d+) kB")
@@ -133,6 +135,7 @@
         self.version = 0
         self.extra_route = False
         self.next_server = 100
+        self.crashing_part = None  # part of prompts with which requests end engines
 
     @property
     def servers(self):
@@ -197,6 +200,14 @@
         """Write the entry of a server to the store."""
         self.store.put("servers", server.name, server.entry(**fields))
 
+    async def restart_crashed(self):
+        """Start the engines again that a request ended."""
+        for engine in self.engines:
+            engine.crashing_parts = {self.crashing_part} - {None}
+            if engine.crashed_at and time.monotonic() - engine.crashed_at > ENGINE_RESTART_S:
+                await engine.restart()
+                self.list_server(engine)
+
     async def wait_ready(self, daemon):
         """Wait until a daemon reports readiness."""
         address = daemon.settings["listen"]["ready"].split(":")
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -36,6 +36,10 @@
 }
 
 
+# Behaviours of an engine: a stream without a length or chunks, complete or cut within an event.
+UNFRAMED = ("unframed", "unframed_cut")
+
+
 class Replica(Listener):
     """A plain service.
 
@@ -53,6 +57,8 @@
     - extra: the response twice
     - late_other: before the response, a signed one with the attempt id of another request
     - late_copy: before the response, a signed one without an attempt id
+    - cut_head: the connection is closed within the head of the response
+    - copied_refusal: before the response, a refusal of an earlier attempt once more
     - hang: no response
     - reset: the connection is reset
     - hold: the response waits for `released`
@@ -141,6 +147,13 @@
                 return False
             case "extra":
                 writer.write(good + good)
+            case "cut_head":
+                writer.write(RESPONSE_HEAD.replace(b"%b", attempt.encode()) + b"Content-Le")
+                await writer.drain()
+                return False
+            case "copied_refusal":
+                refusal = [("Not-Executed", "1"), ("Attempt-Id", f"earlier than {attempt}")]
+                writer.write(answer(503, b"", refusal) + good)
             case "late_other":
                 other = answer(200, b"another's", [("Attempt-Id", "other"), SIGNATURE])
                 writer.write(other + good)
@@ -269,11 +282,13 @@
             begin = CHUNKED + b"c\r\nid: 1\ndata: \r\n"
             await self.send_endlessly(begin, b"400\r\n" + KIB + b"\r\n", attempt, writer)
             return False
-        if self.behaviour not in ("ok", "hold"):
+        if self.behaviour not in ("ok", "hold", *UNFRAMED):
             return await super().run(request, attempt, writer)
         backup = request.headers.get("kv-backup")
         first = max(0, int(request.headers.get("last-event-id", 0)) - self.replayed_events)
         headers = [("Attempt-Id", attempt), SIGNATURE, ("Content-Type", "text/event-stream")]
+        if self.behaviour in UNFRAMED:
+            return await self._stream_unframed(headers, first, attempt, writer)
         writer.write(answer(200, b"", [*headers, ("Transfer-Encoding", "chunked")], length=False))
         for number in range(first + 1, self.events + 1):
             if self.behaviour == "hold" and number > 1:
@@ -295,3 +310,17 @@
         writer.write(b"0\r\n\r\n")
         await writer.drain()
         return True
+
+    async def _stream_unframed(self, headers, first, attempt, writer):
+        """Send a stream that ends with its connection; with "unframed_cut", within an event."""
+        writer.write(answer(200, b"", headers, length=False))
+        for number in range(first + 1, self.events + 1):
+            event = self.event(attempt, number)
+            if self.behaviour == "unframed_cut" and number == first + 3:
+                writer.write(event[:-4])
+                break
+            writer.write(event)
+            self.generated_events[attempt] = number
+            await writer.drain()
+        await writer.drain()
+        return False
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,7 +5,7 @@
 from types import SimpleNamespace
 
 from soak.faults import FaultInterval
-from soak.promises import ObservedRequest, check
+from soak.promises import ObservedRequest, check, check_crashes
 from soak.run import run
 from soak.servers import EVENTS, event, expected_body
 
@@ -65,6 +65,21 @@
         self.assertEqual(self.broken(cut, faults=killed), [])
 
 
+class Crashes(unittest.TestCase):
+    part = FaultInterval("crashing part", "part", 10.0, 20.0)
+
+    def broken(self, *intervals):
+        crashes = [10.0 + number for number in range(5)] + [18.0, 18.1, 18.2, 18.3]
+        faults = SimpleNamespace(intervals=[self.part, *intervals])
+        return check_crashes(crashes, faults)
+
+    def test_crashes_that_go_on_are_detected(self):
+        self.assertIn("4 after", self.broken()[0])
+
+    def test_crashes_are_excused_while_daemons_are_not_in_touch(self):
+        self.assertEqual(self.broken(FaultInterval("kill", "d0", 12.0, 12.4)), [])
+
+
 class ShortRun(unittest.TestCase):
     def test_no_promise_is_broken_under_seeded_faults(self):
         # Guards against daemons that break a promise under signals, faults of their connections,
