--- a/src/lovageway/forwarding/attempt.py
+++ b/src/lovageway/forwarding/attempt.py
@@ -198,7 +198,7 @@
     if head is None or not complete:
         entry.on_failure(now)
         if crashed and not entry.leaving:
-            request.state.poison.on_crash(request.traits, entry.token, now)
+            record_crash(request, entry)
         return AttemptResult(Outcome.BROKEN, head, b"")
     request.state.poison.on_answer(request.traits, now)
     request.state.poison.on_server_answer(entry.token, began, now)
@@ -209,6 +209,12 @@
     return AttemptResult(Outcome.ANSWERED, head, body)
 
 
+def record_crash(request: Request, entry: Entry) -> None:
+    """Record that a server ended before it answered a request, and tell the other daemons."""
+    request.state.poison.on_crash(request.traits, entry.token, request.state.clock())
+    request.state.announce_crash()
+
+
 def can_pass_on(head: AnswerHead | None) -> bool:
     """Return whether a server's failure may be passed on unchanged.
 
--- a/src/lovageway/forwarding/members.py
+++ b/src/lovageway/forwarding/members.py
@@ -284,6 +284,20 @@
             reports.append(rng.choice(others))
         return Targets([*reports, *self._pick_silent(rng)], [], [])
 
+    def urgent_targets(self, now: float) -> list[str]:
+        """Return the daemons that receive what cannot wait for a heartbeat.
+
+        In a small fleet they are all others. In a large one they are the aggregators of the region
+        and of the other ones, and for an aggregator also its region.
+        """
+        if not self.is_large(now):
+            return self.in_regions(set(self._live), now)
+        aggregators = self.aggregators(now)
+        own_region = self.in_own_region(now) if self.own.ip in aggregators else aggregators
+        found = dict.fromkeys([*own_region, *self._other_region_targets()])
+        found.pop(self.own.ip, None)
+        return list(found)
+
     def _other_region_targets(self) -> list[str]:
         """Return the first ready daemons of each other region."""
         found = []
--- a/src/lovageway/forwarding/peers.py
+++ b/src/lovageway/forwarding/peers.py
@@ -89,6 +89,7 @@
         """Close the sockets and stop watching."""
         for watch in self._watches.values():
             watch.stop()
+        self._poison_spread.close()
         self._gossip.close()
         if self._totals_timer is not None:
             self._totals_timer.cancel()
@@ -220,7 +221,6 @@
         written, failing = False, False
         while True:
             try:
-                await self._poison_spread.read_store()
                 page = await self._client.read(MEMBERS_TABLE)
                 for row in page.rows:
                     self._state.members.add_contact(row.key)
@@ -229,6 +229,7 @@
                 if not written:
                     await self._client.put(MEMBERS_TABLE, self._state.cfg.ip, b"")
                     written = True
+                await self._poison_spread.read_store()
                 failing = False
             except (StoreError, ValueError) as exc:
                 if not failing:
@@ -323,8 +324,7 @@
             case gossip.LoadAdded(ip, loads):
                 self._state.load_tracker.on_peer_added(ip, loads, now)
             case gossip.Poison(_, news):
-                self._state.poison.on_peer(news, now)
-                self._state.admission_queue.withdraw()
+                self._poison_spread.on_peer(news)
             case gossip.Heartbeat():
                 self._on_heartbeat(message)
 
--- a/src/lovageway/forwarding/poison.py
+++ b/src/lovageway/forwarding/poison.py
@@ -325,8 +325,8 @@
             record.answered_at = self._answered.get(mark, record.answered_at)
         return record
 
-    def tick(self, now: float) -> list[tuple[Held, bool]]:
-        """Drop old records; return the suspects that are new, and those that no longer are."""
+    def take_changes(self, now: float) -> list[tuple[Held, bool]]:
+        """Return the suspects that are new, and those that no longer are, each once."""
         self._refresh()
         changes = [
             (self._describe(mark, now), held)
@@ -334,6 +334,10 @@
             if mark in self._records
         ]
         self._changes = []
+        return changes
+
+    def forget(self, now: float) -> None:
+        """Drop old records."""
         for mark, record in list(self._records.items()):
             age = now - max(record.newest, record.trial_at)
             if mark in self._suspects:
@@ -349,7 +353,6 @@
         for mark, record in self._records.items():
             for server in record.crashes:
                 self._marks.setdefault(server, set()).add(mark)
-        return changes
 
     def held(self, now: float) -> list[Held]:
         """Return all suspects with their evidence."""
--- a/src/lovageway/forwarding/poisonspread.py
+++ b/src/lovageway/forwarding/poisonspread.py
@@ -4,13 +4,14 @@
 a row to return its suspect to service.
 """
 
+import asyncio
 from collections.abc import Sequence
 
 import msgpack  # type: ignore[import-untyped]
 
 from lovageway.forwarding import gossip
 from lovageway.forwarding.model import Row
-from lovageway.forwarding.poison import MAX_LABEL, Suspect
+from lovageway.forwarding.poison import MAX_LABEL, News, Suspect
 from lovageway.forwarding.state import State
 from lovageway.forwarding.storewatch import StoreClient, StoreError
 from lovageway.forwarding.tokenbucket import TokenBucket
@@ -19,6 +20,7 @@
 MAX_ROWS = 256
 BYTES_PER_S = 8000.0  # sent to other daemons, in all
 BURST_BYTES = 128_000.0
+ANNOUNCE_DELAY_S = 0.02
 NEWS_REUSE_S = 0.1  # one message serves the groups of receivers of a round
 REPEATS_PER_S = 8.0  # datagrams with suspects that did not change
 # The first daemon in an order that differs by suspect writes its row, the next ones if it does not.
@@ -64,21 +66,57 @@
         self._repeat_at = 0.0
         self._news: bytes | None = None
         self._news_until = 0.0
+        state.announce_crash = self.announce_crash
+        self._announcement: asyncio.TimerHandle | None = None
         self._writing = False
         self._write_at = 0.0
         self._loaded = False
 
+    def announce_crash(self) -> None:
+        """Report a crash that this daemon saw; all requests that it interrupted share a message."""
+        if self._announcement is None:
+            loop = asyncio.get_running_loop()
+            self._announcement = loop.call_later(ANNOUNCE_DELAY_S, self.send_urgent)
+
+    def close(self) -> None:
+        """Cancel a report that was not sent yet."""
+        if self._announcement is not None:
+            self._announcement.cancel()
+
+    def send_urgent(self) -> None:
+        """Send what changed to the daemons that pass it on."""
+        self._announcement = None
+        now = self._state.clock()
+        self._news_until = now  # the message is to have this crash
+        self.send_to(self._state.members.urgent_targets(now), now)
+        self._report_changes(now)
+
+    def on_peer(self, news: News) -> None:
+        """Take the records of another daemon; pass them on at once if they make a suspect."""
+        now = self._state.clock()
+        self._state.poison.on_peer(news, now)
+        if self._report_changes(now):
+            self._news_until = now
+            self.send_to(self._state.members.urgent_targets(now), now)
+
     def tick(self, now: float) -> None:
-        """Report changed suspects, end the wait of requests with them and update the store."""
-        state = self._state
-        for held, is_new in state.poison.tick(now):
+        """Report changed suspects and update the store."""
+        self._report_changes(now)
+        self._state.poison.forget(now)
+        if not self._writing and now >= self._write_at:
+            self._writing = True
+            self._state.spawn(self._write_due(now))
+
+    def _report_changes(self, now: float) -> bool:
+        """Log changed suspects and end the wait of requests with them; return if one is new."""
+        state, is_any_new = self._state, False
+        for held, is_new in state.poison.take_changes(now):
             change = "suspect" if is_new else "suspect_cleared"
             state.telemetry.add("suspects_changed", "found" if is_new else "cleared")
             state.log(change, **held._asdict())
             state.admission_queue.withdraw()
-        if not self._writing and now >= self._write_at:
-            self._writing = True
-            state.spawn(self._write_due(now))
+            is_any_new |= is_new
+        return is_any_new
 
     # Other daemons.
 
--- a/src/lovageway/forwarding/state.py
+++ b/src/lovageway/forwarding/state.py
@@ -64,6 +64,7 @@
         self.announce_migration_done: Callable[[str, str], None] = (
             self.migration_schedule.on_finished
         )
+        self.announce_crash: Callable[[], None] = lambda: None
         self.announce_load: Callable[[dict[str, Load], str], None] = lambda loads, region: None
         self.admission_queue: AdmissionQueue[Entry] = AdmissionQueue()
         self.body_budget = MemoryBudget(
--- a/src/lovageway/forwarding/streams.py
+++ b/src/lovageway/forwarding/streams.py
@@ -15,6 +15,7 @@
     is_authentic,
     next_part,
     not_run_result,
+    record_crash,
     send,
 )
 from lovageway.forwarding.connections import ClientConnection, Inbound
@@ -352,7 +353,7 @@
             if crashed:
                 self._log_broken(entry)
             if self.task is None and crashed and not (self.started or entry.leaving):
-                self.state.poison.on_crash(self.request.traits, entry.token, now)
+                record_crash(self.request, entry)
             return AttemptResult(Outcome.BROKEN, head, b"")
         if head.status != 200 or not is_authentic(head):
             entry.on_failure(now)
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -40,6 +40,11 @@
 UNFRAMED = ("unframed", "unframed_cut")
 
 
+def _copied_refusal(attempt):
+    """Return the refusal of an earlier attempt."""
+    return answer(503, b"", [("Not-Executed", "1"), ("Attempt-Id", f"earlier than {attempt}")])
+
+
 class Replica(Listener):
     """A plain service.
 
@@ -152,8 +157,7 @@
                 await writer.drain()
                 return False
             case "copied_refusal":
-                refusal = [("Not-Executed", "1"), ("Attempt-Id", f"earlier than {attempt}")]
-                writer.write(answer(503, b"", refusal) + good)
+                writer.write(_copied_refusal(attempt) + good)
             case "late_other":
                 other = answer(200, b"another's", [("Attempt-Id", "other"), SIGNATURE])
                 writer.write(other + good)
@@ -282,7 +286,9 @@
             begin = CHUNKED + b"c\r\nid: 1\ndata: \r\n"
             await self.send_endlessly(begin, b"400\r\n" + KIB + b"\r\n", attempt, writer)
             return False
-        if self.behaviour not in ("ok", "hold", *UNFRAMED):
+        if self.behaviour == "copied_refusal":
+            writer.write(_copied_refusal(attempt))
+        elif self.behaviour not in ("ok", "hold", *UNFRAMED):
             return await super().run(request, attempt, writer)
         backup = request.headers.get("kv-backup")
         first = max(0, int(request.headers.get("last-event-id", 0)) - self.replayed_events)
--- a/tests/fleetworld.py
+++ b/tests/fleetworld.py
@@ -16,6 +16,7 @@
 from lovageway.forwarding import gossip
 from lovageway.forwarding.model import Address, DaemonSettings, Page, Row, StoreLimits
 from lovageway.forwarding.peers import Peers
+from lovageway.forwarding.poisonspread import SUSPECTS_TABLE
 from lovageway.forwarding.relay import TICK_S
 from lovageway.forwarding.state import State
 from lovageway.forwarding.storewatch import ANSWER_TIMEOUT_S, WATCH_TIMEOUT_S, StoreError
@@ -75,6 +76,10 @@
         await self._answer()
         self.world.rows[table][key] = Row(table, key, value, 0)
 
+    async def remove(self, table, key):
+        await self._answer()
+        self.world.rows[table].pop(key, None)
+
     async def _answer(self):
         await asyncio.sleep(STORE_S)
         if self.ip in self.world.silent | self.world.store_hangs:
@@ -147,7 +152,7 @@
         self.loop = asyncio.get_running_loop()
         self.rng = Random(seed)
         self.version = 1
-        self.rows = {table: {} for table in (*TABLES, "daemons")}
+        self.rows = {table: {} for table in (*TABLES, "daemons", SUSPECTS_TABLE)}
         self.history = []
         self.changed = asyncio.Event()
         self.silent, self.mute, self.store_hangs, self.store_refuses = set(), set(), set(), set()
@@ -196,7 +201,7 @@
         state = State(self.settings(ip), self.loop.time, Random(ip), RecordedLog())
         peers = Peers(state, Random(ip))
         client = SimulatedStore(self, ip)
-        peers._client = client
+        peers._client = peers._poison_spread._client = client
         for watch in peers._watches.values():
             watch._client = client
             watch.start()
--- a/tests/test_poisonspread.py
+++ b/tests/test_poisonspread.py
@@ -4,6 +4,8 @@
 from random import Random
 from types import SimpleNamespace
 
+from lovageway.forwarding import gossip
+from lovageway.forwarding.members import READY, MemberFacts, Members
 from lovageway.forwarding.poison import PoisonDetector, part_traits, server_token
 from lovageway.forwarding.poisonspread import (
     BURST_BYTES,
@@ -12,6 +14,7 @@
     decode_row,
     encode_row,
 )
+from lovageway.forwarding.telemetry import Telemetry
 
 # Receivers of a daemon's messages by size of the fleet, three regions: all others up to 17 daemons,
 # else the aggregators of its region, or for an aggregator its region and some of each other one.
@@ -32,7 +35,7 @@
     """Return a spread of the detector's records and the socket that counts its bytes."""
     sockets = CountedSocket()
     cfg = SimpleNamespace(ip="10.0.0.1")
-    state = SimpleNamespace(poison=detector, cfg=cfg, rng=Random(1))
+    state = SimpleNamespace(poison=detector, cfg=cfg, rng=Random(1), announce_crash=None)
     return PoisonSpread(state, None, sockets, 7200), sockets
 
 
@@ -75,6 +78,57 @@
         self.assertLess(sockets.bytes, BURST_BYTES + BYTES_PER_S * seconds)
 
 
+class Urgent(unittest.TestCase):
+    """Guards against more crashes in a large fleet while reports wait for heartbeats."""
+
+    def hops(self, daemons):
+        """Return after how many messages in a row all daemons hold back a part."""
+        fleet = {}
+        facts = [
+            MemberFacts(f"10.{n % 3}.0.{n}", 1, 1, READY, f"z{n % 3}", f"r{n % 3}")
+            for n in range(daemons)
+        ]
+        for own in facts:
+            members = Members(own, ())
+            for other in facts:
+                members.on_heartbeat(other, 10.0)
+            state = SimpleNamespace(
+                poison=PoisonDetector(),
+                cfg=SimpleNamespace(ip=own.ip),
+                rng=Random(1),
+                members=members,
+                clock=lambda: 10.0,
+                telemetry=Telemetry(),
+                log=lambda *args, **fields: None,
+                admission_queue=SimpleNamespace(withdraw=lambda: None),
+            )
+            sender = PoisonSpread(state, None, SimpleNamespace(send=self.deliver), 7200)
+            fleet[own.ip] = (state.poison, sender)
+        self.queue, crashing = [], part_traits("llm", ["crashing"])
+        for number in range(3):
+            detector, sender = fleet[facts[-1 - number].ip]
+            detector.on_crash(crashing, server_token("i", number), 9.0 + number / 4)
+            sender.send_urgent()
+        hops = 0
+        while self.queue:
+            hops += 1
+            sent, self.queue = self.queue, []
+            for data, ips in sent:
+                for ip in ips:
+                    fleet[ip][1].on_peer(gossip.decode(data).news)
+        self.assertTrue(all(detector.blocking(crashing, 10.0) for detector, _ in fleet.values()))
+        return hops
+
+    def deliver(self, data, ips, port):
+        self.queue.append((data, ips))
+        return True
+
+    def test_all_daemons_hold_back_a_part_after_few_messages(self):
+        for daemons in RECEIVERS:
+            with self.subTest(daemons=daemons):
+                self.assertLessEqual(self.hops(daemons), 4)
+
+
 class Rows(unittest.TestCase):
     def test_a_suspect_comes_back_as_it_was(self):
         detector = PoisonDetector()
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -278,11 +278,11 @@
 
     def test_a_change_is_reported_once(self):
         # Guards against a log line with each tick.
-        ((held, is_new),) = self.detector.tick(1.0)
+        ((held, is_new),) = self.detector.take_changes(1.0)
         self.assertEqual((held.label, held.crashes, is_new), (CRASHING.label, MIN_CRASHES, True))
-        self.assertEqual(self.detector.tick(1.1), [])
+        self.assertEqual(self.detector.take_changes(1.1), [])
         self.detector.on_answer((CRASHING,), 2.0)
-        ((_, is_new),) = self.detector.tick(2.1)
+        ((_, is_new),) = self.detector.take_changes(2.1)
         self.assertFalse(is_new)
 
 
@@ -293,10 +293,10 @@
         detector = PoisonDetector()
         for number in range(100):
             detector.on_crash(request(number), SERVERS[0], 0.0)
-        detector.tick(RETENTION_S + 1)
+        detector.forget(RETENTION_S + 1)
         self.assertIsNone(detector.news(RETENTION_S + 1, repeat=True))
         detector = crashed(*THREE)
-        detector.tick(SUSPECT_RETENTION_S + 1)
+        detector.forget(SUSPECT_RETENTION_S + 1)
         self.assertIsNone(detector.blocking(WHOLE, SUSPECT_RETENTION_S + 1))
 
     def test_records_answers_and_messages_are_limited(self):
