--- a/src/lovageway/forwarding/poisonspread.py
+++ b/src/lovageway/forwarding/poisonspread.py
@@ -102,8 +102,10 @@
     def tick(self, now: float) -> None:
         """Report changed suspects and update the store."""
         self._report_changes(now)
-        self._state.poison.forget(now)
-        if not self._writing and now >= self._write_at:
+        poison = self._state.poison
+        poison.forget(now)
+        is_due = not self._writing and now >= self._write_at
+        if is_due and (poison.to_store(now) or poison.to_remove()):
             self._writing = True
             self._state.spawn(self._write_due(now))
 
