--- a/src/lovageway/forwarding/gossip.py
+++ b/src/lovageway/forwarding/gossip.py
@@ -12,7 +12,8 @@
 from lovageway.forwarding.migration import LeavingRun
 from lovageway.forwarding.mirror import Mirror
 from lovageway.forwarding.model import Row
-from lovageway.forwarding.poison import MAX_LABEL, News, Suspect
+from lovageway.forwarding.poison import News, Suspect
+from lovageway.forwarding.traits import MAX_LABEL
 
 # Kinds of datagrams. The kind is the first field of each.
 HEARTBEAT, LEAVING_RUNS, MIGRATION_DONE, ROWS, LOAD_ADDED, MIGRATION_STARTED = 1, 2, 3, 4, 5, 6
--- a/src/lovageway/forwarding/poison.py
+++ b/src/lovageway/forwarding/poison.py
@@ -20,77 +20,28 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable
-from hashlib import blake2b
 from itertools import islice
 from typing import NamedTuple
 
-MIN_CRASHES = 3
-# An answer in the past makes it less likely that a trait is to blame for the crashes since.
-MIN_CRASHES_ANSWERED = 5
-# Crashes of several servers within this time count as one: power, a network or a host failed.
-SAME_INCIDENT_S = 0.1
+from lovageway.forwarding.crashrecord import (
+    MIN_CRASHES,
+    MIN_CRASHES_ANSWERED,
+    SAME_INCIDENT_S,
+    CrashRecord,
+)
+from lovageway.forwarding.traits import Trait
+
 RETENTION_S = 900.0  # of a record after its last crash or answer
 SUSPECT_RETENTION_S = 86400.0
-TRIAL_DELAY_S = (
-    60.0  # from the last crash until one request may try whether a suspect still crashes
-)
-TRIAL_DELAY_ANSWERED_S = 5.0  # for a suspect that was answered before its crashes
-TRIAL_DELAY_FACTOR = 4.0  # the delay grows by this factor with each trial
-MAX_TRIAL_DELAY_S = 3600.0
 NEWS_S = 3.0  # a record is sent to the other daemons for this long after it changed
 # Ages grow on their way between daemons, so that a time this much later is not news.
 AGE_TOLERANCE_S = 0.5
 MAX_SUSPECTS_PER_MESSAGE = 16
 MAX_REPEATED_PER_MESSAGE = 2  # suspects that did not change, in rotation
 MAX_CRASHES_PER_SUSPECT = 6  # in a message; enough for MIN_CRASHES_ANSWERED
-MAX_CRASHES_PER_RECORD = 32
 MAX_RECORDS = 4096
 EVICTION_CANDIDATES = 16  # the oldest records, of which the one with the fewest crashes goes first
 MAX_ANSWERED = 4096  # traits whose last answer is remembered
-MAX_PARTS = 64  # parts of one prompt that are examined
-MAX_LABEL = 64  # characters
-
-
-class Trait(NamedTuple):
-    """A property that requests share; two requests have the same trait if the marks are equal."""
-
-    mark: bytes
-    label: str  # for operators
-    is_part: bool = False  # of prompts, rather than a whole request
-
-
-def _digest(*parts: bytes) -> bytes:
-    digest = blake2b(digest_size=8)
-    for part in parts:
-        digest.update(len(part).to_bytes(4, "big") + part)
-    return digest.digest()
-
-
-def fingerprint(account: str | None, method: str, target: str, body: bytes) -> Trait:
-    """Return the trait that all repetitions of one request share."""
-    mark = _digest((account or "").encode(), method.encode(), target.encode(), body)
-    return Trait(mark, f"request {target}"[:MAX_LABEL])
-
-
-def part_traits(service: str, parts: Iterable[str]) -> tuple[Trait, ...]:
-    """Return the traits of the parts of a prompt, each once and at most MAX_PARTS of them.
-
-    A part is a trait of one service: the servers of another run other software.
-    """
-    names = list(dict.fromkeys(parts))[:MAX_PARTS]
-    return tuple(
-        Trait(
-            _digest(b"part", service.encode(), name.encode(errors="replace")),
-            f"part {name} of {service}"[:MAX_LABEL],
-            is_part=True,
-        )
-        for name in names
-    )
-
-
-def server_token(server: str, started_at_ms: int) -> bytes:
-    """Return a digest that identifies one start of a server."""
-    return blake2b(f"{server}/{started_at_ms}".encode(), digest_size=4).digest()
 
 
 class Suspect(NamedTuple):
@@ -124,80 +75,11 @@
     trials: int
 
 
-class _Record:
-    def __init__(self, label: str, now: float) -> None:
-        self.label = label
-        self.crashes: dict[bytes, float] = {}  # when each server crashed
-        self.answered_at = float("-inf")
-        self.trials = 0
-        self.trial_at = float("-inf")
-        # Set once there were enough incidents. Daemons may count them differently, as ages are
-        # rounded, but agree on the number of crashes.
-        self.condemned = False
-        self.stored_at: float | None = None  # since when the store is known to have a row of it
-        self.changed_at = now
-
-    @property
-    def last_crash_at(self) -> float:
-        return max(self.crashes.values(), default=float("-inf"))
-
-    @property
-    def newest(self) -> float:
-        return max(self.last_crash_at, self.answered_at)
-
-    def add(self, server: bytes, at: float, now: float) -> bool:
-        """Add a crash; of several reports on one server, the earliest counts."""
-        known = self.crashes.get(server)
-        if at <= self.answered_at or (known is not None and known <= at):
-            return False
-        self.crashes[server] = at
-        if len(self.crashes) > MAX_CRASHES_PER_RECORD:
-            del self.crashes[min(self.crashes, key=self.crashes.__getitem__)]
-        if known is None:
-            self.changed_at = now
-        return known is None
-
-    def answer(self, at: float, now: float) -> bool:
-        """Record an answer, which removes earlier crashes; return whether it removed any."""
-        self.answered_at = max(self.answered_at, at)
-        left = {server: crashed for server, crashed in self.crashes.items() if crashed > at}
-        changed = len(left) < len(self.crashes)
-        self.crashes = left
-        if changed:
-            self.trials = 0
-            self.changed_at = now
-        return changed
-
-    def incidents(self) -> list[tuple[bytes, float]]:
-        """Return the first crash of each incident, in order of time."""
-        found: list[tuple[bytes, float]] = []
-        for server, at in sorted(self.crashes.items(), key=lambda item: (item[1], item[0])):
-            if not found or at - found[-1][1] >= SAME_INCIDENT_S:
-                found.append((server, at))
-        return found
-
-    def judge(self) -> bool:
-        """Return whether there are enough crashes for a suspect."""
-        answered = self.answered_at > float("-inf")
-        needed = MIN_CRASHES_ANSWERED if answered else MIN_CRASHES
-        if len(self.crashes) < needed:
-            self.condemned = False
-        elif not self.condemned:
-            self.condemned = len(self.incidents()) >= needed
-        return self.condemned
-
-    def trial_due_at(self) -> float:
-        answered = self.answered_at > float("-inf")
-        delay = TRIAL_DELAY_ANSWERED_S if answered else TRIAL_DELAY_S
-        delay = min(MAX_TRIAL_DELAY_S, delay * TRIAL_DELAY_FACTOR**self.trials)
-        return max(self.last_crash_at, self.trial_at) + delay
-
-
 class PoisonDetector:
     """Records crashes and answers by trait, seen by this daemon and by others."""
 
     def __init__(self) -> None:
-        self._records: dict[bytes, _Record] = {}
+        self._records: dict[bytes, CrashRecord] = {}
         self._answered: OrderedDict[bytes, float] = OrderedDict()  # last answers of shared parts
         self._marks: dict[bytes, set[bytes]] = {}  # by server that crashed
         # By server that was thought to have crashed: when the latest request that it answered
@@ -314,14 +196,14 @@
 
     # Records.
 
-    def _record(self, mark: bytes, label: str, now: float) -> _Record:
+    def _record(self, mark: bytes, label: str, now: float) -> CrashRecord:
         """Return the record of a trait; a new one replaces the least useful one of too many."""
         record = self._records.get(mark)
         if record is None:
             if len(self._records) >= MAX_RECORDS:
                 oldest = list(islice(self._records.items(), EVICTION_CANDIDATES))
                 del self._records[min(oldest, key=lambda item: len(item[1].crashes))[0]]
-            record = self._records[mark] = _Record(label, now)
+            record = self._records[mark] = CrashRecord(label, now)
             record.answered_at = self._answered.get(mark, record.answered_at)
         return record
 
@@ -466,7 +348,7 @@
         return News(suspects, alive) if suspects or alive else None
 
     @staticmethod
-    def _suspect(mark: bytes, record: _Record, now: float) -> Suspect:
+    def _suspect(mark: bytes, record: CrashRecord, now: float) -> Suspect:
         crashes = record.incidents()[-MAX_CRASHES_PER_SUSPECT:]
         if len(crashes) < MIN_CRASHES_ANSWERED:
             crashes = sorted(record.crashes.items(), key=lambda item: item[1])
--- a/src/lovageway/forwarding/poisonspread.py
+++ b/src/lovageway/forwarding/poisonspread.py
@@ -11,10 +11,11 @@
 
 from lovageway.forwarding import gossip
 from lovageway.forwarding.model import Row
-from lovageway.forwarding.poison import MAX_LABEL, News, Suspect
+from lovageway.forwarding.poison import News, Suspect
 from lovageway.forwarding.state import State
 from lovageway.forwarding.storewatch import StoreClient, StoreError
 from lovageway.forwarding.tokenbucket import TokenBucket
+from lovageway.forwarding.traits import MAX_LABEL
 
 SUSPECTS_TABLE = "suspects"
 MAX_ROWS = 256
--- a/src/lovageway/forwarding/replicas.py
+++ b/src/lovageway/forwarding/replicas.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from lovageway.forwarding.model import Bounds, Replica, Service
-from lovageway.forwarding.poison import server_token
+from lovageway.forwarding.traits import server_token
 
 # A live server's entry that expired during a store outage is back within this time.
 EXPIRY_GRACE_S = 2.0
--- a/tests/test_poison_parts.py
+++ b/tests/test_poison_parts.py
@@ -6,8 +6,9 @@
 from standins.replica import Engine
 
 from lovageway.codes import Code
-from lovageway.forwarding.poison import MIN_CRASHES, TRIAL_DELAY_S, part_traits
+from lovageway.forwarding.crashrecord import MIN_CRASHES, TRIAL_DELAY_S
 from lovageway.forwarding.poisonspread import STALE_READ_S, SUSPECTS_TABLE
+from lovageway.forwarding.traits import part_traits
 from tests.relayworld import RelayCase, engine_service, route
 
 STREAM = route(
--- a/tests/test_poisonspread.py
+++ b/tests/test_poisonspread.py
@@ -6,7 +6,7 @@
 
 from lovageway.forwarding import gossip
 from lovageway.forwarding.members import READY, MemberFacts, Members
-from lovageway.forwarding.poison import PoisonDetector, part_traits, server_token
+from lovageway.forwarding.poison import PoisonDetector
 from lovageway.forwarding.poisonspread import (
     BURST_BYTES,
     BYTES_PER_S,
@@ -15,6 +15,7 @@
     encode_row,
 )
 from lovageway.forwarding.telemetry import Telemetry
+from lovageway.forwarding.traits import part_traits, server_token
 
 # Receivers of a daemon's messages by size of the fleet, three regions: all others up to 17 daemons,
 # else the aggregators of its region, or for an aggregator its region and some of each other one.
--- a/tests/test_suspectcommands.py
+++ b/tests/test_suspectcommands.py
@@ -7,8 +7,9 @@
 
 from lovageway import suspectcommands
 from lovageway.cli import app
-from lovageway.forwarding.poison import MIN_CRASHES, part_traits
+from lovageway.forwarding.crashrecord import MIN_CRASHES
 from lovageway.forwarding.poisonspread import SUSPECTS_TABLE, encode_row
+from lovageway.forwarding.traits import part_traits
 from tests.relayworld import RelayCase
 
 
