Bound suspects, logged parts and reports on crashes

Found by reading the change: comparisons of suspects grew with their square (at most 256 are compared and held now, those with the most crashes); attempt_broken wrote all parts that a client sent (16 of 64 characters now); each reset call of a plain service was reported at once (only requests with parts are); an older answer could replace the time of a newer one; a held back request that was to continue from a copy left the copy counted at its target. The first has a test.

--- a/src/lovageway/forwarding/attempt.py
+++ b/src/lovageway/forwarding/attempt.py
@@ -210,9 +210,14 @@
 
 
 def record_crash(request: Request, entry: Entry) -> None:
-    """Record that a server ended before it answered a request, and tell the other daemons."""
+    """Record that a server ended before it answered a request.
+
+    The other daemons hear of it at once if it may be a part that other requests share, else with
+    the next heartbeat.
+    """
     request.state.poison.on_crash(request.traits, entry.token, request.state.clock())
-    request.state.announce_crash()
+    if any(trait.is_part for trait in request.traits):
+        request.state.announce_crash()
 
 
 def can_pass_on(head: AnswerHead | None) -> bool:
--- a/src/lovageway/forwarding/poison.py
+++ b/src/lovageway/forwarding/poison.py
@@ -20,6 +20,7 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable
+from heapq import nlargest
 from itertools import islice
 from typing import NamedTuple
 
@@ -39,6 +40,7 @@
 MAX_SUSPECTS_PER_MESSAGE = 16
 MAX_REPEATED_PER_MESSAGE = 2  # suspects that did not change, in rotation
 MAX_CRASHES_PER_SUSPECT = 6  # in a message; enough for MIN_CRASHES_ANSWERED
+MAX_SUSPECTS = 256
 MAX_RECORDS = 4096
 EVICTION_CANDIDATES = 16  # the oldest records, of which the one with the fewest crashes goes first
 MAX_ANSWERED = 4096  # traits whose last answer is remembered
@@ -127,8 +129,8 @@
             record.changed_at = now
             self._is_stale = True
         if found or server in self._alive:
-            _, known_at = self._alive.get(server, (0.0, now))
-            self._alive[server] = (sent_at, now if found else known_at)
+            alive_at, known_at = self._alive.get(server, (sent_at, now))
+            self._alive[server] = (max(sent_at, alive_at), now if found else known_at)
 
     # Decisions.
 
@@ -192,6 +194,8 @@
             return
         self._is_stale = False
         found = {mark: record for mark, record in self._records.items() if record.judge()}
+        if len(found) > MAX_SUSPECTS:
+            found = dict(nlargest(MAX_SUSPECTS, found.items(), key=lambda i: len(i[1].crashes)))
         suspects = {
             mark: frozenset(
                 other
--- a/src/lovageway/forwarding/streams.py
+++ b/src/lovageway/forwarding/streams.py
@@ -28,6 +28,7 @@
 from lovageway.forwarding.replicas import Entry
 from lovageway.forwarding.request import ANSWER_MARGIN_S, Refusal, Request, hold_back, place
 from lovageway.forwarding.streamtiming import StreamTiming
+from lovageway.forwarding.traits import MAX_LABEL
 
 # After its first event, a stream has stalled if no event arrives for the longest of these three
 # times: the attempt at the engine then ends, and the generation may be resumed on another one. A
@@ -36,6 +37,7 @@
 MIN_STALL_S = 2.0
 STALL_TARGETS = 4.0  # multiple of the route's target time to the first event
 STALL_GAPS = 8.0  # multiple of the route's target for the longest gap between events
+MAX_LOGGED_PARTS = 16
 HANDOVER_WAIT_S = 3.0  # for the result of a migration after the source ended its stream
 
 
@@ -97,6 +99,8 @@
             if handover is not None:
                 blocked = None if self.started else hold_back(request)
                 if blocked is not None:
+                    if handover.counted:
+                        state.spawn(Migrator(request, self).free(handover))
                     self._end_failed(last, blocked)
                     return
                 entry = handover.entry
@@ -380,7 +384,7 @@
             leaving=entry.leaving,
             begun=self.begun,
             ms=round((state.clock() - self.sent_at) * 1000),
-            parts=request.part_ids(),
+            parts=[part[:MAX_LABEL] for part in request.part_ids()[:MAX_LOGGED_PARTS]],
         )
 
     def _end_failed(self, last: AttemptResult, refusal: Refusal | None) -> None:
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -20,6 +20,7 @@
     AGE_TOLERANCE_S,
     MAX_ANSWERED,
     MAX_RECORDS,
+    MAX_SUSPECTS,
     MAX_SUSPECTS_PER_MESSAGE,
     RETENTION_S,
     SUSPECT_RETENTION_S,
@@ -325,6 +326,15 @@
         news = detector.news(1.2, repeat=True)
         self.assertLessEqual(len(news.suspects), MAX_SUSPECTS_PER_MESSAGE + 2)
 
+    def test_suspects_are_limited(self):
+        # Guards against comparisons that grow with the square of the parts in crashing requests.
+        detector = PoisonDetector()
+        for start in range(MIN_CRASHES):
+            for number in range(MAX_SUSPECTS + 50):
+                traits = part_traits("llm", [f"p{number}"])
+                detector.on_crash(traits, server_token(f"i-{number}", start), start * SPACING_S)
+        self.assertEqual(len(detector.held(2.0)), MAX_SUSPECTS)
+
     def test_records_beyond_the_limit_cost_no_search_of_all(self):
         # Guards against an event loop that stands still when a client sends many parts in requests
         # whose connections are reset.
