--- a/src/lovageway/forwarding/crashrecord.py
+++ b/src/lovageway/forwarding/crashrecord.py
@@ -1,7 +1,7 @@
 """Evidence on one trait: which servers crashed with it, its last answer and its trials."""
 
 MIN_CRASHES = 3
-# An answer in the past makes it less likely that a trait is to blame for the crashes since.
+# An answer in the past makes it less likely that the trait caused the crashes since.
 MIN_CRASHES_ANSWERED = 5
 # Crashes of several servers within this time count as one: power, a network or a host failed.
 SAME_INCIDENT_S = 0.1
@@ -25,7 +25,7 @@
         self.trial_at = float("-inf")
         # Set once there were enough incidents. Daemons may count them differently, as ages are
         # rounded, but agree on the number of crashes.
-        self.condemned = False
+        self.confirmed = False
         self.stored_at: float | None = None  # since when the store is known to have a row of it
         self.changed_at = now
 
@@ -58,7 +58,7 @@
         changed = len(left) < len(self.crashes)
         self.crashes = left
         if changed:
-            self.condemned = False
+            self.confirmed = False
             self.trials = 0
             self.changed_at = now
         return changed
@@ -71,15 +71,15 @@
                 found.append((server, at))
         return found
 
-    def judge(self) -> bool:
-        """Return whether there are enough crashes for a suspect."""
+    def confirm(self) -> bool:
+        """Return whether the trait is a suspect; it stays one while it has as many crashes."""
         answered = self.answered_at > float("-inf")
         needed = MIN_CRASHES_ANSWERED if answered else MIN_CRASHES
         if len(self.crashes) < needed:
-            self.condemned = False
-        elif not self.condemned:
-            self.condemned = len(self.incidents()) >= needed
-        return self.condemned
+            self.confirmed = False
+        elif not self.confirmed:
+            self.confirmed = len(self.incidents()) >= needed
+        return self.confirmed
 
     def trial_due_at(self, *, is_disputed: bool = False) -> float:
         """Return from when one request may try the trait.
--- a/src/lovageway/forwarding/gossip.py
+++ b/src/lovageway/forwarding/gossip.py
@@ -225,14 +225,14 @@
 
 
 def _suspect(item: Any) -> Suspect:
-    mark, label, crashes, answered_ms, trials, condemned, stored = item
+    mark, label, crashes, answered_ms, trials, confirmed, stored = item
     return Suspect(
         _bytes(mark),
         str(label)[:MAX_LABEL],
         tuple((_bytes(server), _age(age_ms)) for server, age_ms in crashes),
         None if answered_ms is None else _age(answered_ms),
         int(trials),
-        bool(condemned),
+        bool(confirmed),
         bool(stored),
     )
 
--- a/src/lovageway/forwarding/poison.py
+++ b/src/lovageway/forwarding/poison.py
@@ -11,7 +11,7 @@
 When a server ends before it answered, the crash is recorded under all traits of the request. An
 answer with a trait removes the trait's crashes. A server that answers a later request did not
 crash. A trait with enough crashes is a suspect, and a request is held back if it has a suspect
-and all other suspects that the same crashes support equally: which of them is to blame becomes
+and all other suspects that the same crashes support equally: which of them is the cause becomes
 known when a request with only some of them is answered or crashes a server.
 
 Daemons send each other their records. Merging them in any order, any number of times, has the
@@ -54,7 +54,7 @@
     crashes: tuple[tuple[bytes, int], ...]  # (server token, age in ms)
     answered_ms: int | None  # age of the last answer in ms, None if there was none
     trials: int
-    condemned: bool  # whether the sender holds back requests with it
+    confirmed: bool  # whether the sender holds back requests with it
     stored: bool  # whether the store has a row of it
 
 
@@ -193,7 +193,7 @@
         if not self._is_stale:
             return
         self._is_stale = False
-        found = {mark: record for mark, record in self._records.items() if record.judge()}
+        found = {mark: record for mark, record in self._records.items() if record.confirm()}
         if len(found) > MAX_SUSPECTS:
             found = dict(nlargest(MAX_SUSPECTS, found.items(), key=lambda i: len(i[1].crashes)))
         suspects = {
@@ -279,7 +279,7 @@
         return record.last_crash_at if record is not None else float("-inf")
 
     def to_remove(self) -> list[bytes]:
-        """Return the traits that have a row in the store and whose crashes were refuted."""
+        """Return the traits that have a row in the store and whose crashes were cleared."""
         records = self._records.items()
         return [m for m, r in records if r.stored_at is not None and len(r.crashes) < MIN_CRASHES]
 
@@ -297,7 +297,7 @@
     def on_stored(self, mark: bytes, label: str, servers: Iterable[bytes], now: float) -> None:
         """Take a suspect from the store; the ages of its crashes are not known there."""
         record = self._record(mark, label, now)
-        record.condemned = True
+        record.confirmed = True
         record.stored_at = now
         for number, server in enumerate(servers):
             self._add(mark, label, server, now - number * SAME_INCIDENT_S, now)
@@ -334,8 +334,8 @@
         if len(record.crashes) >= MIN_CRASHES:
             if suspect.stored and record.stored_at is None:
                 record.stored_at = now
-            self._is_stale |= suspect.condemned and not record.condemned
-            record.condemned |= suspect.condemned
+            self._is_stale |= suspect.confirmed and not record.confirmed
+            record.confirmed |= suspect.confirmed
 
     def news(self, now: float, *, repeat: bool) -> News | None:
         """Return what changed lately, or None if there is nothing to send.
@@ -374,6 +374,6 @@
             tuple((server, int(1000 * (now - at))) for server, at in crashes),
             int(1000 * (now - record.answered_at)) if answered else None,
             record.trials,
-            record.condemned,
+            record.confirmed,
             record.stored_at is not None,
         )
--- a/tests/test_crashrecord.py
+++ b/tests/test_crashrecord.py
@@ -23,19 +23,19 @@
 class Evidence(unittest.TestCase):
     def test_crashes_at_one_moment_are_one_incident(self):
         # Guards against a power failure that makes a popular part a suspect.
-        self.assertFalse(record(*(1.0 + SAME_INCIDENT_S * n / 40 for n in range(30))).judge())
+        self.assertFalse(record(*(1.0 + SAME_INCIDENT_S * n / 40 for n in range(30))).confirm())
         self.assertTrue(
-            record(*(1.0 + SAME_INCIDENT_S * 2 * n for n in range(MIN_CRASHES))).judge()
+            record(*(1.0 + SAME_INCIDENT_S * 2 * n for n in range(MIN_CRASHES))).confirm()
         )
 
-    def test_an_answer_removes_earlier_crashes_and_raises_the_bar(self):
+    def test_an_answer_removes_earlier_crashes_and_raises_the_threshold(self):
         found = record(1.0, 2.0, 3.0)
         self.assertTrue(found.answer(2.5, 4.0))
         self.assertEqual(list(found.crashes.values()), [3.0])
         for number in range(MIN_CRASHES_ANSWERED - 1):
-            self.assertFalse(found.judge())
+            self.assertFalse(found.confirm())
             found.add(b"s%d" % number, 5.0 + number, 5.0 + number)
-        self.assertTrue(found.judge())
+        self.assertTrue(found.confirm())
 
     def test_the_earliest_report_on_a_server_counts(self):
         # Guards against evidence that moves in time with each daemon that repeats it.
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -170,7 +170,7 @@
         self.assertEqual([held.label for held in detector.held(9.0)], ["part crashing of llm"])
         self.assertIsNotNone(detector.blocking(request(99, CRASHING), 9.0))
 
-    def test_a_crash_without_one_of_the_equal_suspects_acquits_it(self):
+    def test_a_crash_without_one_of_the_equal_suspects_clears_it(self):
         # Guards against a part that keeps crashing servers in requests without the other suspects.
         detector = PoisonDetector()
         self.crash_with(detector, FIRST, CALLER, CRASHING)
@@ -192,9 +192,9 @@
         self.assertIsNone(detector.blocking(request(50, FIRST, sound), 9.2))
         self.assertIsNotNone(detector.blocking(request(99, FIRST, CRASHING), 9.2))
 
-    def test_a_crash_of_all_servers_at_one_moment_condemns_nothing(self):
+    def test_a_crash_of_all_servers_at_one_moment_makes_no_suspect(self):
         # Guards against a popular part that is held back after a power failure, when no server can
-        # answer anything that would speak for it.
+        # answer anything that would clear it.
         detector = PoisonDetector()
         for number, server in enumerate(SERVERS):
             detector.on_crash(request(number, FIRST, CALLER), server, 1.0 + number * 0.01)
@@ -235,7 +235,7 @@
 
     def test_a_part_beside_the_crashing_one_is_tried_soon(self):
         # Guards against a sound part that is held back for a minute after a crash of another cause,
-        # as no request with it could speak for it. Found by the simulated fleet, seed 37326.
+        # as no request with it could clear it. Found by the simulated fleet, seed 37326.
         detector = crashed(SERVERS[0], traits=(CALLER,))
         for number in range(1, 4):
             detector.on_crash((CALLER, CRASHING), SERVERS[number], float(number))
@@ -275,7 +275,7 @@
         self.assertIsNone(self.detector.blocking((CRASHING,), 102.0))
 
     def test_a_released_suspect_is_served(self):
-        # Guards against operators who cannot overrule the detector.
+        # Guards against operators who cannot release a suspect.
         self.detector.release(CRASHING.mark, 5.0)
         self.assertIsNone(self.detector.blocking((CRASHING,), 5.0))
 
