Make the suspect of the tests in one place

Cause: three tests of prompt parts repeated the same loop of crashing requests (found by reading the change). No assertion changes; the six tests of the module pass before and after.

--- a/tests/test_poison_parts.py
+++ b/tests/test_poison_parts.py
@@ -62,6 +62,13 @@
                         == engine.started_at_ms
                     )
 
+    async def make_suspect(self):
+        """Let as many requests with the part crash engines as it takes to hold it back."""
+        for _ in range(MIN_CRASHES):
+            await self.ask_with(FIRST, CALLER, CRASHING)
+            await self.restart_crashed()
+            await asyncio.sleep(INTERVAL_S)
+
     def stored_marks(self):
         rows = self.store.rows.items()
         return [key for (table, key), (_, value) in rows if table == SUSPECTS_TABLE and value]
@@ -97,10 +104,7 @@
         # Guards against a part that stays held back after the engines were repaired: one request
         # tries it, and its answer counts for all daemons.
         await self.start_fleet()
-        for _ in range(MIN_CRASHES):
-            await self.ask_with(FIRST, CALLER, CRASHING)
-            await self.restart_crashed()
-            await asyncio.sleep(INTERVAL_S)
+        await self.make_suspect()
         for _ in range(self.daemons):
             reply = await self.ask_with(FIRST, CALLER, CRASHING)
             self.assertEqual(json.loads(reply.body)["error"]["code"], Code.PROMPT_HELD)
@@ -117,10 +121,7 @@
     async def test_a_part_stays_held_back_after_all_daemons_were_killed(self):
         # Guards against crashes that begin again when no daemon remembers them.
         await self.start_fleet()
-        for _ in range(MIN_CRASHES):
-            await self.ask_with(FIRST, CALLER, CRASHING)
-            await self.restart_crashed()
-            await asyncio.sleep(INTERVAL_S)
+        await self.make_suspect()
         await self.until(self.stored_marks)
         for relay in self.relays:
             await relay.close()
@@ -136,10 +137,7 @@
     async def test_a_removed_row_releases_a_part(self):
         # Guards against operators who cannot return a part to service.
         await self.start_fleet()
-        for _ in range(MIN_CRASHES):
-            await self.ask_with(FIRST, CALLER, CRASHING)
-            await self.restart_crashed()
-            await asyncio.sleep(INTERVAL_S)
+        await self.make_suspect()
         await self.until(lambda: len(self.stored_marks()) == 3)  # all parts are suspects
         spread = self.relays[0]._peers._poison_spread
         await self.until(lambda: len(spread._state.poison.stored_for(0.0, 1e9)) == 3)
