Write a line when a server names a limit on its requests

The logs could not tell whether daemons heard of a limit: nothing read it. The header is decoded in platform/, with a written rule for odd values (a plain decimal number of at most nine digits on each side of the point; anything else says nothing), and shown as the line server_limit, in /dump and by the counter limits_unreadable. No decision changes.

--- a/src/lovageway/forwarding/attempt.py
+++ b/src/lovageway/forwarding/attempt.py
@@ -128,6 +128,26 @@
         return None
 
 
+def record_statement(request: Request, entry: Entry, head: AnswerHead) -> None:
+    """Record what a server says of itself in the head of an answer.
+
+    Status 421 comes from another server, which took over the address.
+    """
+    if head.status == 421:
+        return
+    if not head.statement.readable:
+        request.state.telemetry.add("limits_unreadable")
+    elif head.statement.limit_per_s != entry.limit_per_s:
+        request.state.log(
+            "server_limit",
+            id=request.head.attempt_id,
+            server=entry.id,
+            per_s=head.statement.limit_per_s,
+            before=entry.limit_per_s,
+        )
+        entry.limit_per_s = head.statement.limit_per_s
+
+
 def is_authentic(head: AnswerHead) -> bool:
     """Return whether an answer carries the server's signature and no content encoding."""
     return head.signed and not head.encoded
@@ -149,6 +169,7 @@
                     return AttemptResult(Outcome.SILENT, head, b"")
                 if part.head is not None:
                     head = part.head
+                    record_statement(request, entry, head)
                 if not request.reserved.reserve(len(part.data)):
                     exchange.fault = "memory"
                     entry.on_failure(state.clock())
--- a/src/lovageway/forwarding/model.py
+++ b/src/lovageway/forwarding/model.py
@@ -175,6 +175,22 @@
     headers: tuple[tuple[str, str], ...]  # those that are forwarded
 
 
+class Statement(NamedTuple):
+    """What a backend server says of itself in an answer.
+
+    Attributes
+    ----------
+    limit_per_s
+        Requests a second that the server takes from all daemons together; None if it names no
+        limit, or one that cannot be read.
+    readable
+        False if the server names a limit that cannot be read: then nothing is known of its limit.
+    """
+
+    limit_per_s: float | None = None
+    readable: bool = True
+
+
 class AnswerHead(NamedTuple):
     """The decoded head of a backend server's answer."""
 
@@ -186,6 +202,7 @@
     not_run: bool
     server_id: str | None
     load: tuple[int, int, int] | None  # running, waiting, slots
+    statement: Statement
     retry_after_s: float | None
     keep_alive_s: float | None
     headers: tuple[tuple[str, str], ...]  # those that are forwarded
--- a/src/lovageway/forwarding/replicas.py
+++ b/src/lovageway/forwarding/replicas.py
@@ -30,6 +30,7 @@
         self.suspended_until = 0.0
         self.suspensions = 0
         self.latency_s = 0.0
+        self.limit_per_s: float | None = None  # as the server named it last
         self._failures = 0.0
         self._failures_at = now
         self._cold_sends: list[float] = []
--- a/src/lovageway/forwarding/state.py
+++ b/src/lovageway/forwarding/state.py
@@ -159,6 +159,7 @@
                     "zone": entry.replica.zone,
                     "accepts_work": self.replicas.accepts_work(entry),
                     "failures": round(entry.failures(now), 2),
+                    "limit_per_s": entry.limit_per_s,
                     "load": self.load_tracker.at(entry.id, now)._asdict(),
                 }
                 for entry in self.replicas.all()
--- a/src/lovageway/forwarding/streams.py
+++ b/src/lovageway/forwarding/streams.py
@@ -16,6 +16,7 @@
     next_part,
     not_run_result,
     record_crash,
+    record_statement,
     send,
 )
 from lovageway.forwarding.connections import ClientConnection, Inbound
@@ -260,6 +261,7 @@
                 return AttemptResult(Outcome.SILENT, head, b"")
             if part.head is not None:
                 head = part.head
+                record_statement(self.request, entry, head)
             if part.end:
                 crashed = exchange.fault is None
                 complete = part.complete and not self._is_cut_off(head, splitter, exchange)
--- a/src/lovageway/forwarding/telemetry.py
+++ b/src/lovageway/forwarding/telemetry.py
@@ -20,6 +20,7 @@
     "forward_refusals": ("Answers that the daemon itself gave, by result code.", ("code",)),
     "forward_attempts": ("Attempts at backend servers, by how they ended.", ("outcome",)),
     "answers_rejected": ("Answers of servers that were not taken, by fault.", ("fault",)),
+    "limits_unreadable": ("Limits that servers named and that could not be read.", ()),
     "broken_attempts": (
         "Attempts whose server ended the answer, by whether an event had arrived.",
         ("begun",),
--- a/src/lovageway/platform/heads.py
+++ b/src/lovageway/platform/heads.py
@@ -5,15 +5,17 @@
 """
 
 import json
+import re
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 from urllib.parse import parse_qs
 
-from lovageway.forwarding.model import Address, AnswerHead, Generation, RequestHead
+from lovageway.forwarding.model import Address, AnswerHead, Generation, RequestHead, Statement
 from lovageway.platform import names
 from lovageway.platform.settings import MS
 
 Headers = Sequence[tuple[str, str]]
+_DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 
 class BadHeadError(ValueError):
@@ -194,12 +196,21 @@
         not_run=names.NOT_RUN in values or status == 421,
         server_id=values.get(names.SERVER_ID),
         load=_load(load),
+        statement=_statement(headers),
         retry_after_s=_number(values.get(names.RETRY_AFTER)),
         keep_alive_s=_number(keep_alive.get("timeout")),
         headers=_end_to_end(headers, _DROPPED_ANSWER_HEADERS),
     )
 
 
+def _statement(headers: Headers) -> Statement:
+    """Return what a server says of itself; of several limits in one answer, the lowest holds."""
+    values = [value.strip() for key, value in headers if key.lower() == names.SERVER_LIMIT]
+    if not all(_DECIMAL.fullmatch(value) for value in values):
+        return Statement(readable=False)
+    return Statement(min((float(value) for value in values), default=None))
+
+
 def _keep_alive(values: dict[str, str]) -> list[str]:
     return values.get("keep-alive", "").split(",")
 
--- a/src/lovageway/platform/names.py
+++ b/src/lovageway/platform/names.py
@@ -10,6 +10,7 @@
 ACCOUNT = "tenant"
 EXPECTED_SERVER = "expected-replica"
 SERVER_LOAD = "replica-load"
+SERVER_LIMIT = "server-limit"  # requests a second that the server takes from all daemons together
 NOT_RUN = "not-executed"
 RETRY_AFTER = "retry-after"
 SERVER_ID = "replica-id"
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 from standins.replica import Replica
 
-from lovageway.forwarding.model import Address, Repeat, Row
+from lovageway.forwarding.model import Address, Repeat, Row, Statement
 from lovageway.platform import engines, heads, names, records, store
 from lovageway.platform import settings as platform_settings
 from tests.relayworld import config
@@ -242,6 +242,22 @@
         keep = heads.answer(200, "", [("Keep-Alive", "timeout=5, max=9")])
         self.assertEqual(keep.keep_alive_s, 5.0)
 
+    def test_a_servers_limit_is_a_plain_decimal_number_or_not_readable(self):
+        # Guards against a server that gets nothing, or whatever there is, after one odd value.
+        for text, per_s in (("3.7", 3.7), ("0", 0.0), ("0.2", 0.2), ("12", 12.0), (" 5 ", 5.0)):
+            with self.subTest(text=text):
+                self.assertEqual(self.statement(text), Statement(per_s))
+        odd = ("", "-1", "+1", "nan", "inf", "1e400", "1e3", ".5", "5.", "0x1", "\u0663", "1,5")
+        for text in (*odd, "9" * 10_000, "0." + "1" * 10_000):
+            with self.subTest(text=text[:9]):
+                self.assertEqual(self.statement(text), Statement(readable=False))
+        self.assertEqual(self.statement(), Statement(None))
+        self.assertEqual(self.statement("7", "2.5"), Statement(2.5))
+        self.assertEqual(self.statement("7", "x"), Statement(readable=False))
+
+    def statement(self, *limits):
+        return heads.answer(200, "", [("Server-Limit", text) for text in limits]).statement
+
     def test_a_directory_query_is_decoded(self):
         found = heads.directory_query("/resolution?name=H&region=r1&zone=z1")
         self.assertEqual(found, ("h", "r1", "z1"))
