--- a/standins/replica.py
+++ b/standins/replica.py
@@ -79,6 +79,8 @@
         self.zone = zone
         self.behaviour = "ok"
         self.requests = []
+        self.arrivals = []  # times at which they arrived, by the clock of the event loop
+        self.limit = None  # named in every response: requests a second from all daemons together
         self.executions = []
         # Attempts that continued here from a copied KV cache. `executions` of the engine where they
         # began lists them too, but together these are one execution.
@@ -104,15 +106,21 @@
         }
         return {**defaults, **fields}
 
+    def statements(self):
+        """Return the headers in which the server speaks of itself."""
+        return [] if self.limit is None else [("Server-Limit", str(self.limit))]
+
     async def serve_request(self, request, writer):
         self.requests.append(request)
+        self.arrivals.append(asyncio.get_running_loop().time())
         attempt = request.headers.get("attempt-id", "")
         expected = request.headers.get("expected-replica")
         if expected is not None and expected != self.name:
             writer.write(answer(421, b"", [("Replica-Id", self.name), ("Attempt-Id", attempt)]))
             return True
         if self.behaviour == "shed":
-            writer.write(answer(503, b"", [("Not-Executed", "1"), ("Attempt-Id", attempt)]))
+            refused = [("Not-Executed", "1"), ("Attempt-Id", attempt), *self.statements()]
+            writer.write(answer(503, b"", refused))
             return True
         self.executions.append(attempt)
         return await self.run(request, attempt, writer)
@@ -120,6 +128,7 @@
     async def run(self, request, attempt, writer):
         """Respond to an executed request according to the behaviour."""
         headers = [("Attempt-Id", attempt), SIGNATURE, ("Replica-Load", "1,0,8")]
+        headers += self.statements()
         good = answer(200, self.body, headers)
         if self.behaviour in ENDLESS:
             await self.send_endlessly(*ENDLESS[self.behaviour], attempt, writer)
@@ -270,7 +279,8 @@
         source = request.headers.get("kv-from")
         if source is not None and source not in self.kv_caches:
             self.executions.pop()
-            writer.write(answer(503, b"", [("Not-Executed", "1"), ("Attempt-Id", attempt)]))
+            refused = [("Not-Executed", "1"), ("Attempt-Id", attempt), *self.statements()]
+            writer.write(answer(503, b"", refused))
             return True
         if source is not None:
             self.continuations.append(attempt)
@@ -293,6 +303,7 @@
         backup = request.headers.get("kv-backup")
         first = max(0, int(request.headers.get("last-event-id", 0)) - self.replayed_events)
         headers = [("Attempt-Id", attempt), SIGNATURE, ("Content-Type", "text/event-stream")]
+        headers += self.statements()
         if self.behaviour in UNFRAMED:
             return await self._stream_unframed(headers, first, attempt, writer)
         writer.write(answer(200, b"", [*headers, ("Transfer-Encoding", "chunked")], length=False))
