Keep the limit that a server names, in shares of all daemons

Cause: nothing read what a server says of itself in its answers, and placement knew only bounds that the configuration names (cold starts, retry budgets). Class of fault: a bound on the sum over daemons that each of them meets alone.

Change: statements.py keeps each server's newest word by the start of the server, from own answers and from the other daemons, who are told within some 20 ms. fleetshare.py divides a bound into whole requests a window that add up to it exactly; cold starts use the same shares now, and the retry budget the same division. A request counts from the choice of its server on: first sends, repeats, resumed and migrated generations. What fits no server waits only if this daemon's next share comes in time, else it is refused at once with the time of that share (4304).

--- a/src/lovageway/codes.py
+++ b/src/lovageway/codes.py
@@ -29,6 +29,7 @@
     QUEUE_FULL = 4301
     NO_SERVER = 4302
     WAITED_TOO_LONG = 4303
+    SERVERS_LIMITED = 4304
     CLAIM_UNKNOWN = 4501
     OUTCOME_UNKNOWN = 4502
     IN_PROGRESS = 4503
@@ -122,6 +123,12 @@
     Code.WAITED_TOO_LONG: CodeInfo(
         503, "no", "No capacity became free in time.", "Send again after retry_after_s."
     ),
+    Code.SERVERS_LIMITED: CodeInfo(
+        503,
+        "no",
+        "Every server of the service limits its requests, and no share is free in time.",
+        "Send again after retry_after_s.",
+    ),
     Code.CLAIM_UNKNOWN: CodeInfo(
         503, "no", "The claim could not be confirmed; nothing was sent.", "Send again later."
     ),
--- a/src/lovageway/forwarding/admissionqueue.py
+++ b/src/lovageway/forwarding/admissionqueue.py
@@ -21,6 +21,10 @@
     arrived_at: float
     target_at: float  # the latest time at which the answer is still on time
 
+    def key(self, now: float) -> tuple[bool, int, float]:
+        """Return the sort key: late requests go last, then by priority and arrival."""
+        return (now > self.target_at, self.priority, self.arrived_at)
+
 
 class Need(NamedTuple):
     """The server that a waiting request needs."""
@@ -43,9 +47,6 @@
         self.is_withdrawn = is_withdrawn
         self.fut: asyncio.Future[T | None] = asyncio.get_running_loop().create_future()
 
-    def key(self, now: float) -> tuple[bool, int, float]:
-        return (now > self.rank.target_at, self.rank.priority, self.rank.arrived_at)
-
 
 class AdmissionQueue(Generic[T]):
     """Holds the requests that wait for a server, and serves them by rank."""
@@ -61,6 +62,19 @@
         """Return whether no further request may wait."""
         return len(self._waiters) >= MAX_QUEUED_REQUESTS
 
+    def count_before(self, rank: Rank, competes: Callable[[Hashable], bool], now: float) -> int:
+        """Return how many waiting requests go before one of a rank.
+
+        Parameters
+        ----------
+        competes
+            Returns whether requests of a kind want the same servers.
+        """
+        key = rank.key(now)
+        return sum(
+            waiter.rank.key(now) <= key and competes(waiter.need.kind) for waiter in self._waiters
+        )
+
     async def wait(
         self,
         rank: Rank,
@@ -101,7 +115,7 @@
         that the cost does not grow with the number of requests that wait.
         """
         refused: dict[Hashable, int] = {}
-        for waiter in sorted(self._waiters, key=lambda item: item.key(now)):
+        for waiter in sorted(self._waiters, key=lambda item: item.rank.key(now)):
             kind, size = waiter.need
             if waiter.fut.done() or size >= refused.get(kind, size + 1):
                 continue
--- a/src/lovageway/forwarding/attempt.py
+++ b/src/lovageway/forwarding/attempt.py
@@ -82,6 +82,7 @@
                 connection_key(entry), entry.replica.address, attempt_id
             )
         except OSError as exc:
+            entry.sends.withdraw()
             entry.on_unreachable(state.clock())
             request.tried.add(entry.id)
             state.log("server_unreachable", id=attempt_id, server=entry.id)
@@ -95,7 +96,6 @@
             copy=options.kv_source,
             backup=options.kv_backup,
         )
-        entry.on_sent(state.clock())
         request.sends += 1
         request.servers.append(entry.id)
         request.tried.add(entry.id)
@@ -128,24 +128,19 @@
         return None
 
 
-def record_statement(request: Request, entry: Entry, head: AnswerHead) -> None:
+def record_statement(request: Request, entry: Entry, head: AnswerHead, sent_at: float) -> None:
     """Record what a server says of itself in the head of an answer.
 
     Status 421 comes from another server, which took over the address.
     """
+    state = request.state
     if head.status == 421:
         return
     if not head.statement.readable:
-        request.state.telemetry.add("limits_unreadable")
-    elif head.statement.limit_per_s != entry.limit_per_s:
-        request.state.log(
-            "server_limit",
-            id=request.head.attempt_id,
-            server=entry.id,
-            per_s=head.statement.limit_per_s,
-            before=entry.limit_per_s,
-        )
-        entry.limit_per_s = head.statement.limit_per_s
+        state.telemetry.add("limits_unreadable")
+    change = state.statements.on_answer(entry.token, head.statement, sent_at, state.clock())
+    if change is not None:
+        state.announce_statement(entry, change)
 
 
 def is_authentic(head: AnswerHead) -> bool:
@@ -169,7 +164,7 @@
                     return AttemptResult(Outcome.SILENT, head, b"")
                 if part.head is not None:
                     head = part.head
-                    record_statement(request, entry, head)
+                    record_statement(request, entry, head, began)
                 if not request.reserved.reserve(len(part.data)):
                     exchange.fault = "memory"
                     entry.on_failure(state.clock())
--- a/src/lovageway/forwarding/gossip.py
+++ b/src/lovageway/forwarding/gossip.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from functools import singledispatch
+from math import inf
 from typing import Any, NamedTuple, cast
 
 import msgpack  # type: ignore[import-untyped]
@@ -13,11 +14,12 @@
 from lovageway.forwarding.mirror import Mirror
 from lovageway.forwarding.model import Row
 from lovageway.forwarding.poison import News, Suspect
+from lovageway.forwarding.statements import Report
 from lovageway.forwarding.traits import MAX_LABEL
 
 # Kinds of datagrams. The kind is the first field of each.
 HEARTBEAT, LEAVING_RUNS, MIGRATION_DONE, ROWS, LOAD_ADDED, MIGRATION_STARTED = 1, 2, 3, 4, 5, 6
-POISON = 7
+POISON, STATEMENTS = 7, 8
 MAX_DATAGRAM_BYTES = 8192
 # At least this many servers of each other region are described, even if the total then exceeds
 # MAX_SERVERS.
@@ -81,6 +83,13 @@
     news: News
 
 
+class Statements(NamedTuple):
+    """What a daemon heard of servers' limits."""
+
+    ip: str  # of the daemon
+    reports: list[Report]
+
+
 class MigrationStarted(NamedTuple):
     """A generation that now uses the network link of an engine that is shutting down."""
 
@@ -95,7 +104,16 @@
     run: str  # attempt id of the generation
 
 
-Message = Heartbeat | Rows | LeavingRuns | MigrationStarted | MigrationDone | LoadAdded | Poison
+Message = (
+    Heartbeat
+    | Rows
+    | LeavingRuns
+    | MigrationStarted
+    | MigrationDone
+    | LoadAdded
+    | Poison
+    | Statements
+)
 
 
 def most_loaded(loads: Loads, limit: int) -> Loads:
@@ -158,6 +176,11 @@
     return bytes(msgpack.packb([POISON, message.ip, *message.news]))
 
 
+@encode.register
+def _(message: Statements) -> bytes:
+    return bytes(msgpack.packb([STATEMENTS, message.ip, [list(r) for r in message.reports]]))
+
+
 @encode.register
 def _(message: MigrationStarted) -> bytes:
     return bytes(msgpack.packb([MIGRATION_STARTED, message.server, message.run]))
@@ -198,6 +221,9 @@
             ip, suspects, alive = fields
             decoded_alive = [(_bytes(server), _age(age_ms)) for server, age_ms in alive]
             return Poison(str(ip), News([_suspect(item) for item in suspects], decoded_alive))
+        if kind == STATEMENTS:
+            ip, reports = fields
+            return Statements(str(ip), [_report(item) for item in reports])
         if kind == ROWS:
             table, after_version, rows, may_be_expired = fields
             return Rows(
@@ -237,6 +263,13 @@
     )
 
 
+def _report(item: Any) -> Report:
+    server, limit_per_s, age_ms = item
+    if limit_per_s is not None and not 0 <= limit_per_s < inf:
+        raise ValueError(f"{limit_per_s!r} is no limit")
+    return Report(_bytes(server), None if limit_per_s is None else float(limit_per_s), _age(age_ms))
+
+
 def _age(value: Any) -> int:
     # A time in the future would count as newer than everything that is observed later.
     return max(0, int(value))
@@ -331,7 +364,7 @@
     match message:
         case Heartbeat():
             return message.facts.ip
-        case LoadAdded() | LeavingRuns() | Poison():
+        case LoadAdded() | LeavingRuns() | Poison() | Statements():
             return message.ip
     return None
 
--- a/src/lovageway/forwarding/migrator.py
+++ b/src/lovageway/forwarding/migrator.py
@@ -118,6 +118,8 @@
             if result.status == 200 and result.handle is not None:
                 return CopiedGeneration(to, source.replica.address, result.handle, counted=True)
             if result.handle is not None:
+                # The engine that holds the generation is asked even if its limit allows no more.
+                state.replicas.on_send(source, state.clock())
                 return CopiedGeneration(
                     source, source.replica.address, result.handle, counted=False
                 )
@@ -134,6 +136,7 @@
         """
         state = self._state
         state.load_tracker.add(to.id, self._request.tokens)
+        state.replicas.on_send(to, state.clock())
         result = MigrationResult(0, None, 0)
         try:
             result = await self._copy(source, to, last=False)
--- a/src/lovageway/forwarding/peers.py
+++ b/src/lovageway/forwarding/peers.py
@@ -12,6 +12,7 @@
 from lovageway.forwarding.poisonspread import PoisonSpread
 from lovageway.forwarding.rowhandler import TABLES, RowHandler
 from lovageway.forwarding.state import State
+from lovageway.forwarding.statementspread import StatementSpread
 from lovageway.forwarding.storewatch import StoreClient, StoreError, TableWatch
 from lovageway.forwarding.tokenbucket import TokenBucket
 from lovageway.platform import heads, names
@@ -74,6 +75,7 @@
         self._totals_timer: asyncio.TimerHandle | None = None
         self._load_added_tokens = TokenBucket(LOAD_ADDED_PER_S, LOAD_ADDED_BURST)
         self._poison_spread = PoisonSpread(state, self._client, self._gossip, self._port)
+        self._statement_spread = StatementSpread(state, self._gossip, self._port)
 
     async def start(self) -> None:
         """Open the sockets between daemons and start to watch the store."""
@@ -90,6 +92,7 @@
         for watch in self._watches.values():
             watch.stop()
         self._poison_spread.close()
+        self._statement_spread.close()
         self._gossip.close()
         if self._totals_timer is not None:
             self._totals_timer.cancel()
@@ -127,6 +130,7 @@
         self.pull_newer_rows(now)
         self.update_watching(now)
         self._poison_spread.tick(now)
+        self._state.statements.forget(now)
 
     # Rows.
 
@@ -250,6 +254,7 @@
         heartbeat = self._heartbeat(now, aggregator=bool(to.region))
         self._send(heartbeat, to.reports)
         self._poison_spread.send_to(to.reports, now)
+        self._statement_spread.send_to(to.reports, now)
         if not to.region and not to.other_regions:
             return
         self._totals_sent += 1
@@ -266,6 +271,7 @@
             return
         state, now = self._state, self._state.clock()
         self._poison_spread.send_to(group, now)
+        self._statement_spread.send_to(group, now)
         total, daemons = state.load_tracker.total(now), state.load_tracker.daemons()
         own_region = set(state.members.in_own_region(now))
         for ip in group:
@@ -325,6 +331,8 @@
                 self._state.load_tracker.on_peer_added(ip, loads, now)
             case gossip.Poison(_, news):
                 self._poison_spread.on_peer(news)
+            case gossip.Statements():
+                self._statement_spread.on_peer(message)
             case gossip.Heartbeat():
                 self._on_heartbeat(message)
 
@@ -370,6 +378,7 @@
                 # sends heartbeats to some daemons at a time, it might wait long for the rest.
                 self._send(self._heartbeat(now, aggregator=True), [heartbeat.facts.ip])
                 self._poison_spread.send_to([heartbeat.facts.ip], now, repeat=True)
+                self._statement_spread.send_to([heartbeat.facts.ip], now, repeat=True)
         for table, version in heartbeat.versions.items():
             if table in self._watches and version > state.mirror.version(table):
                 self._newer_at_peer.setdefault(table, (now, heartbeat.facts.ip))
--- a/src/lovageway/forwarding/poisonspread.py
+++ b/src/lovageway/forwarding/poisonspread.py
@@ -12,9 +12,9 @@
 from lovageway.forwarding import gossip
 from lovageway.forwarding.model import Row
 from lovageway.forwarding.poison import News, Suspect
+from lovageway.forwarding.rationing import RationedSender
 from lovageway.forwarding.state import State
 from lovageway.forwarding.storewatch import StoreClient, StoreError
-from lovageway.forwarding.tokenbucket import TokenBucket
 from lovageway.forwarding.traits import MAX_LABEL
 
 SUSPECTS_TABLE = "suspects"
@@ -61,9 +61,7 @@
     ) -> None:
         self._state = state
         self._client = client
-        self._gossip = sockets
-        self._port = port
-        self._tokens = TokenBucket(BYTES_PER_S, BURST_BYTES)
+        self._sender = RationedSender(sockets, port, state.rng, BYTES_PER_S, BURST_BYTES)
         self._repeat_at = 0.0
         self._news: bytes | None = None
         self._news_until = 0.0
@@ -134,13 +132,8 @@
             if now >= self._news_until:
                 self._news, self._news_until = self._encode(now, repeat=False), now + NEWS_REUSE_S
             data = self._news
-        if data is None:
-            return
-        allowed = int(self._tokens.at(now) / len(data))
-        if len(ips) > allowed:
-            ips = self._state.rng.sample(list(ips), allowed)
-        self._tokens.take(len(ips) * len(data))
-        self._gossip.send(data, list(ips), self._port)
+        if data is not None:
+            self._sender.send(data, ips, now)
 
     def _encode(self, now: float, *, repeat: bool) -> bytes | None:
         news = self._state.poison.news(now, repeat=repeat)
--- a/src/lovageway/forwarding/relay.py
+++ b/src/lovageway/forwarding/relay.py
@@ -151,6 +151,7 @@
         telemetry.set("store_calls_made", self._peers.store_calls)
         telemetry.set("log_lines_left_out", self.log.left_out_total)
         telemetry.set("suspects", len(state.poison.held(now)))
+        telemetry.set("server_limits", state.statements.in_force)
         telemetry.set("live_daemons", state.members.count(now))
         telemetry.set("regions_without_load", len(state.regions_without_load(now)))
         ages = [age_s for age_s, _ in state.load_tracker.regions(now).values()]
--- a/src/lovageway/forwarding/replicas.py
+++ b/src/lovageway/forwarding/replicas.py
@@ -1,10 +1,12 @@
 """Tracks the backend servers: store entries, observed health, cold starts, evacuated zones."""
 
 from collections.abc import Callable
-from math import isinf
 from typing import NamedTuple
 
+from lovageway.forwarding import fleetshare, statements
+from lovageway.forwarding.fleetshare import Bound, SendLog
 from lovageway.forwarding.model import Bounds, Replica, Service
+from lovageway.forwarding.statements import Statements
 from lovageway.forwarding.traits import server_token
 
 # A live server's entry that expired during a store outage is back within this time.
@@ -30,10 +32,10 @@
         self.suspended_until = 0.0
         self.suspensions = 0
         self.latency_s = 0.0
-        self.limit_per_s: float | None = None  # as the server named it last
+        self.sends = SendLog()  # while a bound on the requests to this server holds
+        self.held_off = 0  # times that it was passed over for the limit that it named
         self._failures = 0.0
         self._failures_at = now
-        self._cold_sends: list[float] = []
 
     @property
     def id(self) -> str:
@@ -69,16 +71,6 @@
         self.suspended_until = now + min(MAX_SUSPENSION_S, MIN_SUSPENSION_S * 2**self.suspensions)
         self.suspensions += 1
 
-    def is_below_cold_limit(self, per_s: int, now: float) -> bool:
-        """Return whether fewer than `per_s` requests were sent to it cold in the last second."""
-        self._cold_sends = [at for at in self._cold_sends if now - at < 1.0]
-        return len(self._cold_sends) < per_s
-
-    def on_sent(self, now: float) -> None:
-        """Record a request that is sent, while the server is cold and for a second after."""
-        if now < self.cold_until + 1.0:
-            self._cold_sends.append(now)
-
 
 class Change(NamedTuple):
     """The effect of a changed entry on a server."""
@@ -90,8 +82,9 @@
 class Replicas:
     """All backend servers by id."""
 
-    def __init__(self, bounds: Bounds) -> None:
+    def __init__(self, bounds: Bounds, said: Statements | None = None) -> None:
         self.bounds = bounds
+        self.statements = said if said is not None else Statements()
         self._entries: dict[str, Entry] = {}
         self._evacuated: set[str] = set()
 
@@ -110,6 +103,8 @@
             replica.started_at_ms,
             replica.address,
         ):
+            if old is not None:
+                self.statements.drop(old.token)
             entry = self._entries[replica.id] = Entry(replica, now)
             return Change(entry, replica.leaving)
         was_leaving = old.leaving
@@ -155,6 +150,7 @@
                 entry.removal_due_at, entry.removed_at = None, now
                 changes.append(Change(entry, True))
             elif entry.removed_at is not None and now - entry.removed_at > 30.0:
+                self.statements.drop(entry.token)
                 del self._entries[server]
         return changes
 
@@ -171,27 +167,27 @@
         Parameters
         ----------
         daemons
-            How many daemons share the bound on requests to a cold server.
+            How many daemons share the bounds on requests to a server.
         rank
             Returns, for a server id, how many daemons come before this one in the server's order.
         """
         return [
             entry
             for entry in self._entries.values()
-            if entry.replica.service == service.name
-            and self.accepts_work(entry)
+            if self._may_serve(entry, service.name, regions)
             and entry.suspended_until <= now
-            and (not regions or entry.replica.region in regions)
             and self._can_accept_more(entry, service, daemons, now, rank)
         ]
 
     def has_servers(self, service: str, regions: frozenset[str]) -> bool:
         """Return whether any server of the service accepts work, even if it is suspended now."""
-        return any(
+        return any(self._may_serve(entry, service, regions) for entry in self._entries.values())
+
+    def _may_serve(self, entry: Entry, service: str, regions: frozenset[str]) -> bool:
+        return (
             entry.replica.service == service
             and self.accepts_work(entry)
             and (not regions or entry.replica.region in regions)
-            for entry in self._entries.values()
         )
 
     def _can_accept_more(
@@ -202,20 +198,93 @@
         now: float,
         rank: Callable[[str], int],
     ) -> bool:
-        """Return whether a server may get one more request; only a cold server has a bound.
+        """Return whether this daemon's shares of the bounds on a server leave room for a request.
 
-        The bound holds for all daemons together, and each has an equal share of it. Where a share
-        is less than one request a second, the first daemons in an order that differs by server get
-        one each and the others send nothing.
+        Only a cold server, and one that named a limit, has bounds.
         """
-        if now >= entry.cold_until or service.cold_per_s <= 0:
+        if not self._has_room(entry, self._cold_bound(entry, service, now), daemons, now, rank):
+            return False
+        if not self.is_within_limit(entry, daemons, now, rank):
+            entry.held_off += 1
+            return False
+        return True
+
+    def is_within_limit(
+        self, entry: Entry, daemons: float, now: float, rank: Callable[[str], int]
+    ) -> bool:
+        """Return whether this daemon's share of the limit that a server named leaves room."""
+        return self._has_room(entry, self._limit_bound(entry), daemons, now, rank)
+
+    @staticmethod
+    def _has_room(
+        entry: Entry,
+        bound: Bound | None,
+        daemons: float,
+        now: float,
+        rank: Callable[[str], int],
+    ) -> bool:
+        if bound is None:
             return True
-        bound = service.cold_per_s * self.bounds.cold_overshoot + self.bounds.cold_tolerance
-        total = max(1, int(COLD_SAFETY_FACTOR * bound))
-        share = int(total / daemons)
-        if share == 0 and not isinf(daemons):
-            share = int(rank(entry.id) < total)
-        return entry.is_below_cold_limit(share, now)
+        allowed = fleetshare.share(bound.requests, daemons, rank(entry.id))
+        return entry.sends.count(bound.window_s, now) < allowed
+
+    def _cold_bound(self, entry: Entry, service: Service, now: float) -> Bound | None:
+        if now >= entry.cold_until or service.cold_per_s <= 0:
+            return None
+        count = service.cold_per_s * self.bounds.cold_overshoot + self.bounds.cold_tolerance
+        return Bound(max(1, int(COLD_SAFETY_FACTOR * count)), 1.0)
+
+    def _limit_bound(self, entry: Entry) -> Bound | None:
+        limit = self.statements.limit(entry.token)
+        return statements.bound(limit) if limit is not None else None
+
+    def on_send(self, entry: Entry, now: float) -> None:
+        """Record a request that is about to be sent, if a bound on the server holds."""
+        bound = self._limit_bound(entry)
+        if bound is not None or now < entry.cold_until + 1.0:
+            entry.sends.forget(now - max(1.0, bound.window_s if bound is not None else 0.0))
+            entry.sends.add(now)
+
+    def limited_slots(
+        self,
+        service: Service,
+        regions: frozenset[str],
+        daemons: float,
+        now: float,
+        count: int,
+        rank: Callable[[str], int] = lambda server: 0,
+    ) -> list[float] | None:
+        """Return when this daemon may send the next requests of a service.
+
+        Parameters
+        ----------
+        count
+            How many requests.
+
+        Returns
+        -------
+        list of float or None
+            The first `count` times in order; fewer if this daemon has no share. None if something
+            other than limits keeps requests from one of the servers.
+        """
+        found: list[float] = []
+        for entry in self._entries.values():
+            if not self._may_serve(entry, service.name, regions):
+                continue
+            bound = self._limit_bound(entry)
+            if bound is None or self.is_within_limit(entry, daemons, now, rank):
+                return None
+            allowed = fleetshare.share(bound.requests, daemons, rank(entry.id))
+            found += entry.sends.slots(allowed, bound.window_s, count, now)
+        return sorted(found)[:count]
+
+    def limit_per_s(self, service: str, regions: frozenset[str]) -> float:
+        """Return the sum of the limits that the servers of a service named."""
+        return sum(
+            max(statements.MIN_LIMIT_PER_S, self.statements.limit(entry.token) or 0.0)
+            for entry in self._entries.values()
+            if self._may_serve(entry, service, regions)
+        )
 
     def all(self) -> list[Entry]:
         """Return every entry."""
--- a/src/lovageway/forwarding/request.py
+++ b/src/lovageway/forwarding/request.py
@@ -1,5 +1,6 @@
 """State of one client request, the checks before it is forwarded and its wait for a server."""
 
+import asyncio
 from collections.abc import Callable
 from functools import cached_property
 from typing import NamedTuple
@@ -26,6 +27,7 @@
 # Values of Retry-After; the second one is sent when no server is usable or the queue is full.
 RETRY_AFTER_S = 0.2
 RETRY_AFTER_FULL_S = 0.8
+CLOCK_STEP_S = 0.001
 EXPECTED_CALL_S = 0.3  # expected duration of a call, and of a generation beside its output
 
 
@@ -37,6 +39,14 @@
     retry_after_s: float | None = None
 
 
+class Kind(NamedTuple):
+    """What decides which servers a waiting request fits, except for its size."""
+
+    service: str
+    regions: frozenset[str]
+    tried: frozenset[str]  # ids of servers
+
+
 class Request:
     """Client request together with its route, service, deadline and attempts."""
 
@@ -192,6 +202,35 @@
     return Refusal(code, f"mark {suspect.mark.hex()}")
 
 
+def hold_off(request: Request, rank: Rank, limit_s: float) -> Refusal | None:
+    """Return why a request must not wait, or None if it may wait or something else is the cause.
+
+    Where only the limits that servers named keep a request from them, the next times at which this
+    daemon may send are known, and so are the waiting requests that go first.
+    """
+    state, service, regions = request.state, request.service, request.regions
+    if not state.statements.in_force:
+        return None
+    now = state.clock()
+
+    def competes(kind: object) -> bool:
+        return isinstance(kind, Kind) and kind.service == service.name
+
+    before = state.admission_queue.count_before(rank, competes, now)
+    slots = state.limited_slots(service, regions, before + 1)
+    if slots is None:
+        return None
+    if len(slots) > before and slots[-1] <= now + limit_s:
+        # Rounded up, so that the share is free when the queue is looked at.
+        asyncio.get_running_loop().call_later(slots[-1] - now + CLOCK_STEP_S, state.pump)
+        return None
+    state.telemetry.add("limit_refusals")
+    wait_s = 1.0 / state.replicas.limit_per_s(service.name, regions)
+    if len(slots) > before:
+        wait_s = slots[-1] - now
+    return Refusal(Code.SERVERS_LIMITED, retry_after_s=wait_s)
+
+
 async def place(request: Request, choose: Callable[[], Entry | None]) -> Result[Entry, Refusal]:
     """Return the server for the next attempt.
 
@@ -213,7 +252,10 @@
     rank = Rank(request.priority, request.inbound.arrived_at, target_at)
     share = STREAM_WAIT_SHARE if request.service.engine is not None else CALL_WAIT_SHARE
     limit = max(0.0, min(share * request.left_s(), request.left_s() - ANSWER_MARGIN_S))
-    kind = (request.service.name, request.regions, frozenset(request.tried))
+    kind = Kind(request.service.name, request.regions, frozenset(request.tried))
+    limited = hold_off(request, rank, limit)
+    if limited is not None:
+        return Error(limited)
     entry = await state.admission_queue.wait(
         rank,
         Need(kind, request.tokens),
--- a/src/lovageway/forwarding/retries.py
+++ b/src/lovageway/forwarding/retries.py
@@ -8,6 +8,8 @@
 
 from collections import deque
 
+from lovageway.forwarding import fleetshare
+
 SAFETY_FACTOR = 0.8  # used part of the bound: daemons may count different numbers of live ones
 SLICE_S = 0.5  # width of the slices in which events are counted
 
@@ -56,7 +58,7 @@
         """
         self._requests.expire(now, early=True)
         self._retries.expire(now, early=False)
-        allowed = self._ratio * self._requests.total + self._extra / max(1.0, daemons)
+        allowed = self._ratio * self._requests.total + fleetshare.part(self._extra, daemons)
         if self._retries.total + 1 > SAFETY_FACTOR * allowed:
             return False
         self._retries.add(now)
--- a/src/lovageway/forwarding/state.py
+++ b/src/lovageway/forwarding/state.py
@@ -6,7 +6,7 @@
 from random import Random
 from typing import Any, Protocol
 
-from lovageway.forwarding import memorybudget, placement
+from lovageway.forwarding import fleetshare, memorybudget, placement, statements
 from lovageway.forwarding.admissionqueue import AdmissionQueue
 from lovageway.forwarding.eventlog import EventLog
 from lovageway.forwarding.lifecycle import Lifecycle
@@ -21,6 +21,8 @@
 from lovageway.forwarding.replicas import Entry, Replicas
 from lovageway.forwarding.retries import RetryBudget
 from lovageway.forwarding.routes import RouteTable
+from lovageway.forwarding.statements import Change as StatementChange
+from lovageway.forwarding.statements import Statements
 from lovageway.forwarding.telemetry import Telemetry
 from lovageway.platform import heads
 
@@ -54,7 +56,8 @@
         self.members = Members(own, cfg.seeds, clock())
         self.lifecycle = Lifecycle(cfg.bounds)
         self.mirror = Mirror()
-        self.replicas = Replicas(cfg.bounds)
+        self.statements = Statements()
+        self.replicas = Replicas(cfg.bounds, self.statements)
         self.load_tracker = LoadTracker()
         self.poison = PoisonDetector()
         self.migration_schedule = MigrationSchedule()
@@ -65,6 +68,9 @@
             self.migration_schedule.on_finished
         )
         self.announce_crash: Callable[[], None] = lambda: None
+        self.announce_statement: Callable[[Entry, StatementChange], None] = (
+            lambda entry, change: None
+        )
         self.announce_load: Callable[[dict[str, Load], str], None] = lambda loads, region: None
         self.admission_queue: AdmissionQueue[Entry] = AdmissionQueue()
         self.body_budget = MemoryBudget(
@@ -125,10 +131,32 @@
         return self.replicas.usable(service, regions, members.count_sharers(now), now, members.rank)
 
     def choose(self, work: placement.Work, regions: frozenset[str]) -> Entry | None:
-        """Return the server for a request, or None if none has capacity."""
+        """Return the server for a request, or None if none has capacity.
+
+        The request counts against the bounds on the server from now on.
+        """
         entries, now = self.usable(work.service, regions), self.clock()
         work = work._replace(remote_loads_stale=self.members.is_large(now))
-        return placement.choose(work, entries, self.load_tracker, now, self.rng)
+        entry = placement.choose(work, entries, self.load_tracker, now, self.rng)
+        if entry is not None:
+            self.replicas.on_send(entry, now)
+        return entry
+
+    def is_within_limit(self, entry: Entry) -> bool:
+        """Return whether the limit that a server named leaves this daemon room for a request."""
+        now, members = self.clock(), self.members
+        return self.replicas.is_within_limit(entry, members.count_sharers(now), now, members.rank)
+
+    def limited_slots(
+        self, service: Service, regions: frozenset[str], count: int
+    ) -> list[float] | None:
+        """Return when servers that named limits take the next requests from this daemon.
+
+        See `Replicas.limited_slots`.
+        """
+        now, members = self.clock(), self.members
+        sharers = members.count_sharers(now)
+        return self.replicas.limited_slots(service, regions, sharers, now, count, members.rank)
 
     def regions_without_load(self, now: float) -> set[str]:
         """Return the other regions whose load is not known; empty in a small fleet.
@@ -145,6 +173,23 @@
         if len(self.admission_queue):
             self.admission_queue.pump(self.clock())
 
+    def _describe_limit(self, entry: Entry, now: float) -> dict[str, object] | None:
+        """Return the limit that a server named and this daemon's share, for operators."""
+        record = self.statements.record(entry.token)
+        if record is None or record.limit_per_s is None:
+            return None
+        bound = statements.bound(record.limit_per_s)
+        sharers = self.members.count_sharers(now)
+        return {
+            "per_s": record.limit_per_s,
+            "source": record.source,
+            "age_s": round(now - record.said_at, 1),
+            "share": fleetshare.share(bound.requests, sharers, self.members.rank(entry.id)),
+            "window_s": round(bound.window_s, 3),
+            "sent": entry.sends.count(bound.window_s, now),
+            "held_off": entry.held_off,
+        }
+
     def dump(self, now: float) -> dict[str, object]:
         """Return the daemon's state for operators."""
         return {
@@ -159,7 +204,7 @@
                     "zone": entry.replica.zone,
                     "accepts_work": self.replicas.accepts_work(entry),
                     "failures": round(entry.failures(now), 2),
-                    "limit_per_s": entry.limit_per_s,
+                    "limit": self._describe_limit(entry, now),
                     "load": self.load_tracker.at(entry.id, now)._asdict(),
                 }
                 for entry in self.replicas.all()
--- a/src/lovageway/forwarding/streams.py
+++ b/src/lovageway/forwarding/streams.py
@@ -240,8 +240,9 @@
             return None
         if outcome not in (Outcome.BROKEN, Outcome.SILENT):
             return None
-        if not self.state.replicas.accepts_work(entry):
+        if not self.state.replicas.accepts_work(entry) or not self.state.is_within_limit(entry):
             return None
+        self.state.replicas.on_send(entry, self.state.clock())
         self.state.log("resume_from_copy", id=self.request.head.attempt_id, server=entry.id)
         attempt_id = self.request.head.attempt_id
         return CopiedGeneration(entry, entry.replica.address, attempt_id, counted=False)
@@ -261,7 +262,7 @@
                 return AttemptResult(Outcome.SILENT, head, b"")
             if part.head is not None:
                 head = part.head
-                record_statement(self.request, entry, head)
+                record_statement(self.request, entry, head, self.sent_at)
             if part.end:
                 crashed = exchange.fault is None
                 complete = part.complete and not self._is_cut_off(head, splitter, exchange)
--- a/src/lovageway/forwarding/telemetry.py
+++ b/src/lovageway/forwarding/telemetry.py
@@ -21,6 +21,7 @@
     "forward_attempts": ("Attempts at backend servers, by how they ended.", ("outcome",)),
     "answers_rejected": ("Answers of servers that were not taken, by fault.", ("fault",)),
     "limits_unreadable": ("Limits that servers named and that could not be read.", ()),
+    "limit_refusals": ("Requests refused since the limits of the servers leave no room.", ()),
     "broken_attempts": (
         "Attempts whose server ended the answer, by whether an event had arrived.",
         ("begun",),
@@ -47,6 +48,7 @@
     "regions_without_load": "Other regions whose load is not known, in a large fleet.",
     "region_load_age_seconds": "Age of the oldest load of another region, in a large fleet.",
     "suspects": "Requests and prompt parts that are held back, as they crash servers.",
+    "server_limits": "Limits in force that servers named for their requests.",
     "live_daemons": "Daemons that are alive, this one included.",
 }
 HISTOGRAMS: dict[str, tuple[str, tuple[str, ...], tuple[float, ...]]] = {
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -71,7 +71,7 @@
         for step in range(2000):
             now = step * 0.002
             for entry in fleets[step % 8].usable(cold, ANYWHERE, 8, now):
-                entry.on_sent(now)
+                fleets[step % 8].on_send(entry, now)
                 sent.append(now)
         bound = 41.0 * BOUNDS.cold_overshoot + BOUNDS.cold_tolerance
         for begin in range(3):
@@ -110,7 +110,7 @@
                 sharers = members.count_sharers(now)
                 found = known.usable(self.COLD, ANYWHERE, sharers, now, members.rank)
                 for entry in found:
-                    entry.on_sent(now)
+                    known.on_send(entry, now)
                     sent.append(now)
         return max((sum(at <= other < at + 1.0 for other in sent) for at in set(sent)), default=0)
 
