--- a/soak/faults.py
+++ b/soak/faults.py
@@ -22,6 +22,10 @@
 MISBEHAVE_WEIGHT = 8
 DRAIN_S = 1.5  # a server still serves for this long after announcing its shutdown
 RESTART_DELAY_S = 0.4
+LIMITS_PER_S = (0, 0.2, 1, 3)  # that servers name
+
+
+LIMITED = "limit "  # begins the kind of the fault, before the limit
 
 
 class FaultInterval(NamedTuple):
@@ -54,6 +58,8 @@
             self._server_leaves,
             self._server_crashes,
             self._crashing_part,
+            self._limited,
+            self._limited,
             self._configuration,
             self._evacuation,
             self._compact,
@@ -180,6 +186,17 @@
             lambda: set_behaviour("ok"),
         )
 
+    async def _limited(self):
+        """Let a server name a limit on its requests in all its answers."""
+        server, limit = self.rng.choice(self.world.servers), self.rng.choice(LIMITS_PER_S)
+
+        def name(value):
+            server.limit = value
+
+        seconds = self.rng.uniform(4.0, 9.0)
+        kind = f"{LIMITED}{limit}"
+        await self._apply_for(kind, server.name, seconds, lambda: name(limit), lambda: name(None))
+
     async def _replace(self, kind, seconds, begin):
         """Apply `begin` to a server, and after `seconds` replace it by a new one in its zone."""
         world = self.world
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -3,6 +3,7 @@
 import re
 from typing import NamedTuple
 
+from soak.faults import LIMITED
 from soak.servers import EVENTS, expected_body
 
 # Statuses which promise that the request was not executed and never will be.
@@ -11,6 +12,8 @@
 PLANNED_FAULTS = ("stop", "reload", "configuration", "leave", "compact")
 CONTACT_S = 3.0
 MAX_LATE_CRASHES = 3
+# In some 4 s, a server gets no more than one and a half times what its limit allows and 5 requests.
+LIMIT_WINDOW_S, LIMIT_FACTOR, LIMIT_SLACK = 4.0, 1.5, 5
 OUT_OF_TOUCH_FAULTS = ("pause", "kill", "stop", "store", "link")
 _EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) (\d+)\n\n")
 
@@ -75,6 +78,34 @@
     return broken
 
 
+def check_limits(observed, servers, faults):
+    """Return a line for each server that got more requests than the limit it named allows.
+
+    Requests of daemons that were stopped, or cut off from others, around that time do not count.
+    """
+    daemons = {item.id: item.daemon for item in observed}
+    arrivals = {server.name: server.arrivals for server in servers}
+    broken = []
+    for fault in (fault for fault in faults.intervals if fault.kind.startswith(LIMITED)):
+        allowed = LIMIT_FACTOR * LIMIT_WINDOW_S * float(fault.kind.removeprefix(LIMITED))
+        excused = {
+            other.target.partition(" ")[0]
+            for other in faults.intervals
+            if other.kind.startswith(OUT_OF_TOUCH_FAULTS)
+            and other.begin < fault.end
+            and other.end > fault.begin - CONTACT_S
+        }
+        times = [
+            at
+            for at, attempt, _ in arrivals[fault.target]
+            if fault.begin + CONTACT_S <= at <= fault.end and daemons.get(attempt) not in excused
+        ]
+        most = max((sum(at <= b < at + LIMIT_WINDOW_S for b in times) for at in times), default=0)
+        if most > allowed + LIMIT_SLACK:
+            broken.append(f"{fault.target}: {most} requests in 4 s under {fault.kind} a second")
+    return broken
+
+
 def _count_executions(servers):
     """Return the number of executions by request.
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -7,7 +7,7 @@
 
 from soak.callers import Caller
 from soak.faults import Faults
-from soak.promises import check, check_crashes
+from soak.promises import check, check_crashes, check_limits
 from soak.servers import EngineServer
 from soak.world import World
 
@@ -48,6 +48,7 @@
         broken = await _check_recovery(world, observed)
         servers = [*world.servers, *world.removed_servers]
         broken += check(observed, servers, faults)
+        broken += check_limits(observed, servers, faults)
         engines = [server for server in servers if isinstance(server, EngineServer)]
         broken += check_crashes([at for engine in engines for at in engine.crash_times], faults)
         for daemon in world.daemons:
--- a/src/lovageway/cli.py
+++ b/src/lovageway/cli.py
@@ -11,7 +11,7 @@
 
 import typer
 
-from lovageway import logcommands, operator, serving, settings, suspectcommands
+from lovageway import limitcommands, logcommands, operator, serving, settings, suspectcommands
 from lovageway.platform import launch, names
 from lovageway.platform import settings as platform_settings
 
@@ -23,6 +23,7 @@
 operator.register(app)
 app.add_typer(logcommands.app, name="logs")
 app.add_typer(suspectcommands.app, name="suspects")
+app.add_typer(limitcommands.app, name="limits")
 
 
 @app.command()
--- a/src/lovageway/forwarding/replicas.py
+++ b/src/lovageway/forwarding/replicas.py
@@ -171,12 +171,17 @@
         rank
             Returns, for a server id, how many daemons come before this one in the server's order.
         """
+        limited = self.statements.in_force > 0
         return [
             entry
             for entry in self._entries.values()
-            if self._may_serve(entry, service.name, regions)
+            if entry.replica.service == service.name
             and entry.suspended_until <= now
-            and self._can_accept_more(entry, service, daemons, now, rank)
+            and self._may_serve(entry, service.name, regions)
+            and (
+                (now >= entry.cold_until and not limited)
+                or self._can_accept_more(entry, service, daemons, now, rank)
+            )
         ]
 
     def has_servers(self, service: str, regions: frozenset[str]) -> bool:
@@ -198,10 +203,7 @@
         now: float,
         rank: Callable[[str], int],
     ) -> bool:
-        """Return whether this daemon's shares of the bounds on a server leave room for a request.
-
-        Only a cold server, and one that named a limit, has bounds.
-        """
+        """Return whether this daemon's shares of a server's bounds leave room for a request."""
         if not self._has_room(entry, self._cold_bound(entry, service, now), daemons, now, rank):
             return False
         if not self.is_within_limit(entry, daemons, now, rank):
--- a/src/lovageway/forwarding/statementspread.py
+++ b/src/lovageway/forwarding/statementspread.py
@@ -13,8 +13,8 @@
 from lovageway.forwarding.state import State
 from lovageway.forwarding.statements import Change
 
-BYTES_PER_S = 2000.0  # sent to other daemons, in all
-BURST_BYTES = 64_000.0
+BYTES_PER_S = 1500.0  # sent to other daemons, in all
+BURST_BYTES = 32_000.0
 ANNOUNCE_DELAY_S = 0.02
 NEWS_REUSE_S = 0.1  # one message serves the groups of receivers of a round
 REPEATS_PER_S = 2.0  # datagrams with records that did not change
--- a/src/lovageway/suspectcommands.py
+++ b/src/lovageway/suspectcommands.py
@@ -7,18 +7,15 @@
 from typing import Annotated
 
 import typer
-import urllib3
 
+from lovageway import dump
 from lovageway.forwarding.model import Address
 from lovageway.forwarding.poisonspread import SUSPECTS_TABLE
-from lovageway.forwarding.relay import DUMP_PATH
 from lovageway.forwarding.storewatch import StoreClient, StoreError
 from lovageway.platform import heads
 from lovageway.platform import settings as platform_settings
 
 EXIT_NOT_FOUND = 1
-EXIT_UNREACHABLE = 3
-TIMEOUT_S = 5.0
 
 app = typer.Typer(
     no_args_is_help=True,
@@ -32,13 +29,7 @@
     as_json: Annotated[bool, typer.Option("--json", help="Print one JSON value.")] = False,
 ) -> None:
     """Show what a daemon holds back, with its evidence."""
-    try:
-        url = f"http://{address}{DUMP_PATH}"
-        reply = urllib3.PoolManager().request("GET", url, timeout=TIMEOUT_S, retries=False)
-        suspects = json.loads(reply.data)["suspects"]
-    except (urllib3.exceptions.HTTPError, ValueError, KeyError) as exc:
-        typer.echo(f"{address}: no state of a daemon: {exc!r}; give the metrics address", err=True)
-        raise typer.Exit(EXIT_UNREACHABLE) from exc
+    suspects = dump.read(address, "suspects")
     if as_json:
         typer.echo(json.dumps(suspects))
         return
@@ -67,7 +58,7 @@
         found = asyncio.run(_remove_row(loaded.ok.store.address, mark))
     except (StoreError, ValueError) as exc:
         typer.echo(f"the store did not remove the row: {exc}; try again", err=True)
-        raise typer.Exit(EXIT_UNREACHABLE) from exc
+        raise typer.Exit(dump.EXIT_UNREACHABLE) from exc
     if not found:
         typer.echo(f"no suspect has the mark {mark}; `suspects list` shows the marks", err=True)
         raise typer.Exit(EXIT_NOT_FOUND)
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -79,7 +79,7 @@
         self.zone = zone
         self.behaviour = "ok"
         self.requests = []
-        self.arrivals = []  # times at which they arrived, by the clock of the event loop
+        self.arrival_times = []  # times at which they arrived, by the clock of the event loop
         self.limit = None  # named in every response: requests a second from all daemons together
         self.executions = []
         # Attempts that continued here from a copied KV cache. `executions` of the engine where they
@@ -112,7 +112,7 @@
 
     async def serve_request(self, request, writer):
         self.requests.append(request)
-        self.arrivals.append(asyncio.get_running_loop().time())
+        self.arrival_times.append(asyncio.get_running_loop().time())
         attempt = request.headers.get("attempt-id", "")
         expected = request.headers.get("expected-replica")
         if expected is not None and expected != self.name:
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -12,6 +12,7 @@
 from lovageway.forwarding.migration import LeavingRun
 from lovageway.forwarding.model import Row
 from lovageway.forwarding.poison import News, Suspect
+from lovageway.forwarding.statements import Report
 
 FACTS = MemberFacts("10.0.0.1", 1, 2, 1, "z", "r")
 
@@ -35,8 +36,11 @@
         )
         suspect = Suspect(b"12345678", "part a of llm", ((b"1234", 20),), None, 1, True, True)
         poison = gossip.Poison("10.0.0.1", News([suspect], [(b"1234", 30)]))
+        reports = [Report(b"1234", 3.7, 20), Report(b"1235", None, 30)]
+        statements = gossip.Statements("10.0.0.1", reports)
         started, done = gossip.MigrationStarted("i-1", "a"), gossip.MigrationDone("i-1", "a")
-        for message in (heartbeat, total, runs, rows, started, done, added, poison):
+        kinds = (heartbeat, total, runs, rows, started, done, added, poison, statements)
+        for message in kinds:
             with self.subTest(kind=type(message).__name__):
                 self.assertEqual(gossip.decode(gossip.encode(message)), message)
 
--- a/tests/test_platform_boundary.py
+++ b/tests/test_platform_boundary.py
@@ -66,7 +66,8 @@
     def test_decisions_touch_no_socket_clock_or_global_random_number(self):
         # Guards against decisions that tests cannot run with their own clock and random numbers.
         modules = "mirror routes retries poison members placement replicas migration load directory"
-        for name in [*modules.split(), "lifecycle", "events", "watchers", "traits", "crashrecord"]:
+        modules += " lifecycle events watchers traits crashrecord statements fleetshare"
+        for name in modules.split():
             for module, _ in imports(SOURCE / "forwarding" / f"{name}.py"):
                 with self.subTest(name=name, module=module):
                     self.assertNotIn(module, ("time", "socket", "asyncio", "threading", "os"))
--- a/tests/test_suspectcommands.py
+++ b/tests/test_suspectcommands.py
@@ -5,7 +5,7 @@
 
 from typer.testing import CliRunner
 
-from lovageway import suspectcommands
+from lovageway import dump, suspectcommands
 from lovageway.cli import app
 from lovageway.forwarding.crashrecord import MIN_CRASHES
 from lovageway.forwarding.poisonspread import SUSPECTS_TABLE, encode_row
@@ -32,7 +32,7 @@
 
     async def test_an_address_without_a_daemon_is_reported(self):
         shown = await self.run_command("list", "127.0.0.1:9")
-        self.assertEqual(shown.exit_code, suspectcommands.EXIT_UNREACHABLE)
+        self.assertEqual(shown.exit_code, dump.EXIT_UNREACHABLE)
 
     async def test_a_released_suspect_loses_its_row(self):
         # Guards against a release that a restart of the daemons undoes.
