Write lines on the era of the store and on rows that are not applied

The logs could not tell that the store had come back from a copy, nor which rows arrive and are dropped. The era is decoded in platform/ and kept with each page of rows; no decision changes.

--- a/src/lovageway/forwarding/model.py
+++ b/src/lovageway/forwarding/model.py
@@ -223,6 +223,7 @@
     rows: tuple[Row, ...]
     version: int  # newest version of the store
     has_more: bool
+    era: int | None = None  # versions are comparable within one; None if the store names none
 
 
 class MigrationResult(NamedTuple):
--- a/src/lovageway/forwarding/storewatch.py
+++ b/src/lovageway/forwarding/storewatch.py
@@ -50,16 +50,16 @@
         version = 0
         first_key = ""
         while True:
-            page = store.page(await self._call(store.read(table, first_key), 0.0))
+            page = store.page(*await self._call(store.read(table, first_key), 0.0))
             rows += page.rows
             version = version or page.version
             if not page.has_more or not page.rows:
-                return Page(tuple(rows), version, False)
+                return Page(tuple(rows), version, False, page.era)
             first_key = page.rows[-1].key + "\0"
 
     async def watch(self, table: str, after: int, wait_s: float) -> Page:
         """Return the rows that changed after a version, waiting for up to `wait_s` for one."""
-        return store.page(await self._call(store.watch(table, after, wait_s), wait_s))
+        return store.page(*await self._call(store.watch(table, after, wait_s), wait_s))
 
     async def put(self, table: str, key: str, value: bytes) -> None:
         """Write one row."""
@@ -69,8 +69,9 @@
         """Remove one row; it is no error if there is none."""
         await self._call(store.remove(table, key), 0.0)
 
-    async def _call(self, request: bytes, wait_s: float) -> bytes:
+    async def _call(self, request: bytes, wait_s: float) -> tuple[bytes, int | None]:
         self.calls += 1
+        era: int | None = None
         try:
             async with asyncio.timeout(wait_s + ANSWER_TIMEOUT_S):
                 conn = await self._pool.acquire("store", self._address)
@@ -79,7 +80,8 @@
                 status, body = 0, b""
                 try:
                     while not (part := await exchange.get()).end:
-                        status = part.head.status if part.head is not None else status
+                        if part.head is not None:
+                            status, era = part.head.status, store.era(part.head.headers)
                         body += part.data
                 except BaseException:
                     conn.close()
@@ -89,7 +91,7 @@
             raise StoreError(0, repr(exc)) from exc
         if not part.complete or status != 200:
             raise StoreError(status, "incomplete answer" if not part.complete else "refused")
-        return body
+        return body, era
 
 
 class TableWatch:
@@ -117,6 +119,7 @@
         self.answered_at: float | None = None
         self.failing_since: float | None = None
         self.recovered_at = 0.0
+        self.era: int | None = None  # of the store's last answer
 
     def start(self) -> None:
         """Start to watch the table."""
@@ -170,11 +173,33 @@
             page = await self._client.watch(self.table, self._cursor, wait_s)
             before = self._mirror.version(self.table)
             rows = self._mirror.apply(page.rows)
+        self._note_answer(page, before, rows)
         self._cursor = page.version
         if self.failing_since is not None:
             self.recovered_at = self._clock()
         self._on_rows(self.table, rows, before, self.failing_since is not None)
 
+    def _note_answer(self, page: Page, before: int, applied: list[Row]) -> None:
+        """Write lines on a new era and on rows that were not applied although they differ."""
+        if page.era != self.era:
+            self._log(
+                "store_era",
+                table=self.table,
+                era=page.era,
+                before=self.era,
+                version=page.version,
+                cursor=self._cursor,
+                known=before,
+            )
+            self.era = page.era
+        for row in set(page.rows) - set(applied):
+            held = self._mirror.get(row.table, row.key)
+            if held is None or held.value != row.value:
+                version = held.version if held is not None else None
+                self._log(
+                    "row_outdated", table=row.table, key=row.key, row=row.version, held=version
+                )
+
     def _record_failure(self, exc: Exception) -> None:
         if self.failing_since is None:
             self.failing_since = self._clock()
--- a/src/lovageway/platform/names.py
+++ b/src/lovageway/platform/names.py
@@ -53,6 +53,9 @@
     }
 )
 
+# Header of the store: rises when it returned from a copy and lost what it had acknowledged.
+STORE_ERA = "store-era"
+
 OPERATOR_TABLE = "op"
 SERVERS_TABLE = "servers"
 CONFIG_KEY = "config"
--- a/src/lovageway/platform/store.py
+++ b/src/lovageway/platform/store.py
@@ -2,10 +2,14 @@
 
 import base64
 import json
+from collections.abc import Iterable
 from typing import Any
 from urllib.parse import urlencode
 
 from lovageway.forwarding.model import Page, Row
+from lovageway.platform import names
+
+MAX_ERA_DIGITS = 18
 
 
 class UnreadableAnswerError(ValueError):
@@ -51,7 +55,16 @@
     return f"GET {target} HTTP/1.1\r\nHost: store\r\n\r\n".encode()
 
 
-def page(body: bytes) -> Page:
+def era(headers: Iterable[tuple[str, str]]) -> int | None:
+    """Return the era that an answer of the store belongs to, None if it names none."""
+    for name, value in headers:
+        text = value.strip()
+        if name.lower() == names.STORE_ERA and text.isascii() and text.isdigit():
+            return int(text) if len(text) <= MAX_ERA_DIGITS else None
+    return None
+
+
+def page(body: bytes, era: int | None = None) -> Page:
     """Decode an answer with rows.
 
     Raises
@@ -62,7 +75,7 @@
     try:
         fields = json.loads(body)
         rows = tuple(_row(item) for item in fields["rows"])
-        return Page(rows, int(fields["row_version"]), bool(fields.get("has_more")))
+        return Page(rows, int(fields["row_version"]), bool(fields.get("has_more")), era)
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError, RecursionError) as exc:
         raise UnreadableAnswerError(repr(exc)) from exc
 
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -197,6 +197,15 @@
             with self.subTest(body=body[:60]), self.assertRaises(store.UnreadableAnswerError):
                 store.page(body)
 
+    def test_an_era_is_a_plain_whole_number(self):
+        # Guards against an odd header that makes all later answers look like old ones.
+        for text, era in (("1", 1), (" 7 ", 7), ("0", 0)):
+            self.assertEqual(store.era([("Store-Era", text)]), era)
+        for text in ("", "-1", "1.5", "x", "9" * 5000, "\u0663"):
+            with self.subTest(text=text[:5]):
+                self.assertIsNone(store.era([("store-era", text)]))
+        self.assertIsNone(store.era([("Other", "1")]))
+
 
 class Heads(unittest.TestCase):
     REQUEST = [("Host", "H.example:80"), ("Attempt-Id", "1"), ("Authorization", "Bearer k")]
