--- a/standins/store.py
+++ b/standins/store.py
@@ -21,6 +21,7 @@
         self.rows = {}
         self.version = 0
         self.compacted_version = 0
+        self.era = 1  # rises with each return from a copy
         self.mode = "ok"
         self.rejected_hosts = set()
         self.lose_answers = False
@@ -36,6 +37,22 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def copy(self):
+        """Return a copy of all rows, to which `restore` returns."""
+        return dict(self.rows), self.version
+
+    def restore(self, copied):
+        """Return to a copy: what was written since is lost, and its versions are given out again.
+
+        A poll after a version that the copy does not have is answered 410.
+        """
+        rows, self.version = copied
+        self.rows = dict(rows)
+        self.compacted_version = min(self.compacted_version, self.version)
+        self.era += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def compact(self):
         """Discard the history of changes: polls after an earlier version are answered 410."""
         self.compacted_version = self.version
@@ -49,7 +66,7 @@
             writer.transport.abort()
             return False
         if self.mode in ("busy", "many") or peer in self.rejected_hosts:
-            writer.write(answer(429 if self.mode == "many" else 503, b"{}"))
+            writer.write(answer(429 if self.mode == "many" else 503, b"{}", self._headers()))
             return True
         if request.path == "/rows-tx":
             status, fields = self._transact(json.loads(request.body))
@@ -60,9 +77,12 @@
             status, fields = self._get(request)
         else:
             status, fields = await self._watch(request)
-        writer.write(answer(status, json.dumps(fields).encode()))
+        writer.write(answer(status, json.dumps(fields).encode(), self._headers()))
         return True
 
+    def _headers(self):
+        return [("Store-Era", str(self.era))]
+
     def _transact(self, fields):
         for row in fields["expected_revision"]:
             stored = self.rows.get((row["table"], row["key"]), (0, None))
@@ -97,13 +117,15 @@
 
     async def _watch(self, request):
         after = int(request.field("after_revision"))
+        if after > self.version:
+            return 410, {}
         try:
             async with asyncio.timeout(int(request.field("wait_ms")) / 1000):
                 while not self._changes(request.field("table"), after):
                     await self._changed.wait()
         except TimeoutError:
             pass
-        if after < self.compacted_version:
+        if not self.compacted_version <= after <= self.version:
             return 410, {}
         rows = self._changes(request.field("table"), after)
         return 200, {"rows": rows, "row_version": self.version, "now_ms": 0}
