Write again what daemons keep in the store after it returned from a copy

A suspect whose row the store had lost looked like one that an operator had removed, so it was released and could crash servers again; a released one came back with the copy for daemons that start later; a daemon's own row was never written again, so that daemons which start later may not find it.

Now the read after a return tells lost rows from removed ones. Watchers write suspects again in the order of their rank, within 20 s; released ones are removed again. Daemons that do not watch write their own row within 15 s after they hear of the return, at a random moment each (48 daemons: fewer than 16 in any second).

--- a/src/lovageway/forwarding/peers.py
+++ b/src/lovageway/forwarding/peers.py
@@ -36,6 +36,8 @@
 MEMBERS_TABLE = "daemons"
 MEMBERS_READ_INTERVAL_S = 15.0
 MEMBERS_RETRY_INTERVAL_S = 3.0
+# After a return of the store, the daemons that do not watch it write their rows over this time.
+REWRITE_SPREAD_S = 15.0
 
 
 class Peers:
@@ -231,21 +233,23 @@
         self._gossip.send(gossip.encode(gossip.LoadAdded(state.cfg.ip, loads)), peers, self._port)
 
     async def announce(self) -> None:
-        """Write this daemon's row to the store once, and read the others' rows periodically.
+        """Write this daemon's row to the store, and read the others' rows periodically.
 
-        After the first time, the rows are read only while this daemon watches the store.
+        After the first time, the rows are read only while this daemon watches the store, and when
+        the store has returned from a copy: it may have lost this daemon's row.
         """
-        written, failing = False, False
+        written_in: int | None = None  # era
+        failing = False
         while True:
             try:
                 page = await self._client.read(MEMBERS_TABLE)
                 for row in page.rows:
                     self._state.members.add_contact(row.key)
                 self._state.members.mark_contacts_complete()
-                written = written or any(row.key == self._state.cfg.ip for row in page.rows)
-                if not written:
+                era = page.era or 0
+                if written_in != era and all(row.key != self._state.cfg.ip for row in page.rows):
                     await self._client.put(MEMBERS_TABLE, self._state.cfg.ip, b"")
-                    written = True
+                written_in = era
                 await self._poison_spread.read_store()
                 failing = False
             except (StoreError, ValueError) as exc:
@@ -254,8 +258,14 @@
                 failing = True
             await asyncio.sleep(MEMBERS_RETRY_INTERVAL_S if failing else MEMBERS_READ_INTERVAL_S)
             while not self._watches[names.SERVERS_TABLE].is_running:
+                if self._store_era() > (written_in or 0):
+                    await asyncio.sleep(REWRITE_SPREAD_S * self._state.rng.random())
+                    break
                 await asyncio.sleep(MEMBERS_RETRY_INTERVAL_S)
 
+    def _store_era(self) -> int:
+        return self._state.mirror.position(names.SERVERS_TABLE).era
+
     def send_heartbeats(self) -> None:
         """Send the periodic heartbeats; an aggregator starts a round of the region's totals.
 
--- a/src/lovageway/forwarding/poison.py
+++ b/src/lovageway/forwarding/poison.py
@@ -289,6 +289,13 @@
         records = ((mark, self._records[mark].stored_at) for mark in self._suspects)
         return [mark for mark, at in records if at is not None and now - at >= age_s]
 
+    def cleared(self, marks: Iterable[str]) -> list[bytes]:
+        """Return those of some traits that are known and are no suspects, by hexadecimal mark."""
+        self._refresh()
+        wanted = set(marks)
+        known = self._records.keys() - self._suspects.keys()
+        return [mark for mark in known if mark.hex() in wanted]
+
     def set_stored(self, mark: bytes, stored_at: float | None) -> None:
         """Record since when the store has a row of a trait; None if it has none."""
         if mark in self._records:
--- a/src/lovageway/forwarding/poisonspread.py
+++ b/src/lovageway/forwarding/poisonspread.py
@@ -26,6 +26,7 @@
 REPEATS_PER_S = 8.0  # datagrams with suspects that did not change
 # The first daemon in an order that differs by suspect writes its row, the next ones if it does not.
 WRITE_WAIT_S = 2.0
+MAX_REWRITE_RANK = 10  # bounds the wait for rows that the store lost
 REMOVERS = 2  # this many daemons remove the row of a suspect that was answered
 RETRY_S = 1.0  # after a failed write
 STALE_READ_S = 10.0  # a row that is younger may be missing in an answer of the store
@@ -70,6 +71,9 @@
         self._writing = False
         self._write_at = 0.0
         self._loaded = False
+        self._era = 0  # of the store, as the last read showed it
+        self._returned_at = float("-inf")  # when the store was found to have returned from a copy
+        self._lost: set[bytes] = set()  # suspects whose rows were lost then and are not back
 
     def announce_crash(self) -> None:
         """Report a crash that this daemon saw; all requests that it interrupted share a message."""
@@ -156,15 +160,38 @@
         state = self._state
         page = await self._client.read(SUSPECTS_TABLE)
         now = state.clock()
+        era = self._era if page.era is None else page.era
+        if era < self._era:
+            return  # The call hung while the store returned from a copy.
         if not self._loaded:
             self._loaded = True
             for row in page.rows[:MAX_ROWS]:
                 self._load(row, now)
+        elif era > self._era:
+            self._on_returned({row.key for row in page.rows}, now)
+        self._era = era
         rows = {row.key for row in page.rows}
         for mark in state.poison.stored_for(STALE_READ_S, now):
-            if mark.hex() not in rows:
+            if mark.hex() not in rows and mark not in self._lost:
                 state.poison.release(mark, now)
                 state.log("suspect_released", mark=mark.hex())
+        self._lost = {mark for mark in self._lost if mark.hex() not in rows}
+        for mark in self._lost:
+            state.poison.set_stored(mark, None)  # others may not know yet that the row is lost
+
+    def _on_returned(self, rows: set[str], now: float) -> None:
+        """Note what the store lost by its return from a copy, and what came back with it.
+
+        A row that it lacks was not removed by an operator, and one that is back was released.
+        """
+        state = self._state
+        self._returned_at = now
+        lost = [mark for mark in state.poison.stored_for(0.0, now) if mark.hex() not in rows]
+        self._lost.update(lost)
+        back = state.poison.cleared(rows)
+        for mark in back:
+            state.poison.set_stored(mark, now)
+        state.log("suspects_lost", lost=[mark.hex() for mark in lost], back=[m.hex() for m in back])
 
     def _load(self, row: Row, now: float) -> None:
         """Take a suspect that was found before this daemon started."""
@@ -182,8 +209,13 @@
         try:
             for mark, suspect in state.poison.to_store(now)[:MAX_ROWS]:
                 rank = state.members.rank(mark.hex())
-                if now - state.poison.last_crash_at(mark) >= rank * WRITE_WAIT_S:
+                since_return_s = now - self._returned_at
+                if (
+                    now - state.poison.last_crash_at(mark) >= rank * WRITE_WAIT_S
+                    and since_return_s >= min(rank, MAX_REWRITE_RANK) * WRITE_WAIT_S
+                ):
                     await self._client.put(SUSPECTS_TABLE, mark.hex(), encode_row(suspect))
+                    self._lost.discard(mark)
                     state.poison.set_stored(mark, state.clock())
             for mark in state.poison.to_remove():
                 if state.members.rank(mark.hex()) < REMOVERS:
--- a/tests/test_fleet_restored.py
+++ b/tests/test_fleet_restored.py
@@ -10,6 +10,7 @@
 
 from standins.replica import Replica
 
+from lovageway.forwarding.peers import MEMBERS_READ_INTERVAL_S, REWRITE_SPREAD_S
 from tests.fleetworld import run, started
 from tests.relayworld import config
 from tests.test_fleet_rows import APPLY_S
@@ -97,6 +98,22 @@
 
         run(scenario)
 
+    def test_daemons_write_their_rows_again_spread_over_time(self):
+        # Guards against daemons that nobody finds after the store lost their rows, and against
+        # hundreds of writes in one moment.
+        async def scenario(worlds):
+            world = await self.returned(worlds)
+            world.rows["daemons"].clear()
+            most = written = 0
+            for _ in range(int(MEMBERS_READ_INTERVAL_S + REWRITE_SPREAD_S) + 8):
+                await asyncio.sleep(1.0)
+                most = max(most, len(world.rows["daemons"]) - written)
+                written = len(world.rows["daemons"])
+            self.assertEqual(written, DAEMONS)
+            self.assertLess(most, DAEMONS / 3)
+
+        run(scenario)
+
     def test_a_return_costs_few_more_calls_than_an_outage(self):
         # Guards against all daemons that read all tables at once.
         calls = []
--- a/tests/test_poison_parts.py
+++ b/tests/test_poison_parts.py
@@ -151,6 +151,45 @@
         await self.until(lambda: not any(r.state.poison.held(0.0) for r in self.relays))
         await self.until(lambda: not self.stored_marks())
 
+    async def test_a_part_that_the_store_lost_is_not_released_and_is_stored_again(self):
+        # Guards against crashes that begin again since a row that the store lost by its return from
+        # a copy looks like one that an operator removed.
+        await self.start_fleet()
+        copied = self.store.copy()
+        await self.make_suspect()
+        await self.until(lambda: len(self.stored_marks()) == 3)
+        spreads = [relay._peers._poison_spread for relay in self.relays]
+        for spread in spreads:
+            await self.until(lambda state=spread._state: len(state.poison.stored_for(0, 1e9)) == 3)
+            await spread.read_store()
+        self.store.restore(copied)
+        for spread in spreads:
+            for _ in range(2):
+                for mark in spread._state.poison.stored_for(0.0, 1e9):
+                    spread._state.poison.set_stored(mark, spread._state.clock() - STALE_READ_S)
+                await spread.read_store()
+            self.assertTrue(spread._state.poison.held(0.0))
+        await self.until(lambda: len(self.stored_marks()) == 3)
+
+    async def test_a_released_part_does_not_come_back_with_a_copy(self):
+        # Guards against a release that a return of the store from a copy undoes at daemons that
+        # start later.
+        await self.start_fleet()
+        await self.make_suspect()
+        await self.until(lambda: len(self.stored_marks()) == 3)
+        spread = self.relays[0]._peers._poison_spread
+        await spread.read_store()
+        copied, poison = self.store.copy(), spread._state.poison
+        for mark in poison.stored_for(0.0, 1e9):
+            poison.release(mark, spread._state.clock())
+        await self.until(lambda: not self.stored_marks())
+        await self.until(lambda: not any(r.state.poison.held(0.0) for r in self.relays))
+        self.store.restore(copied)
+        self.assertTrue(self.stored_marks())
+        for relay in self.relays:
+            await relay._peers._poison_spread.read_store()
+        await self.until(lambda: not self.stored_marks())
+
     async def test_a_waiting_request_is_refused_when_its_part_becomes_a_suspect(self):
         # Guards against a request that waits in the queue although it is known not to be served.
         engine = Engine("i-1", "127.0.0.1")
