--- a/soak/faults.py
+++ b/soak/faults.py
@@ -46,6 +46,7 @@
         self.intervals = []  # of the faults that ended
         self.failed_stops = []  # (daemon, exit code) of planned stops that did not exit with 0
         self._active_targets = set()  # names of the targets of active faults
+        self._copied = world.store.copy()  # to which the store returns
         self._fault_kinds = [
             self._pause,
             self._kill,
@@ -63,6 +64,9 @@
             self._configuration,
             self._evacuation,
             self._compact,
+            self._copy,
+            self._return,
+            self._return,
         ]
 
     async def run(self, seconds):
@@ -258,5 +262,24 @@
             lambda: store.put("op", row, None),
         )
 
+    async def _copy(self):
+        self._copied = self.world.store.copy()
+
+    async def _return(self):
+        """Let the store be away and come back from the last copy, once or twice in a row."""
+        store = self.world.store
+
+        def go_away():
+            store.mode = "reset"
+            store.put("op", "wake", "{}")  # completes pending long polls
+
+        async def come_back():
+            store.mode = "ok"
+            await self.world.return_store(self._copied)
+
+        for _ in range(self.rng.choice((1, 1, 2))):
+            seconds = self.rng.uniform(0.3, 1.5)
+            await self._apply_for("store return", "store", seconds, go_away, come_back)
+
     async def _compact(self):
         await self._apply_for("compact", "history", 0.0, self.world.store.compact, lambda: None)
--- a/soak/world.py
+++ b/soak/world.py
@@ -23,6 +23,7 @@
 DAEMONS = 4
 ZONES = ("z1", "z2", "z3")
 GRACE_PERIOD_S = 4.0
+WRITE_AGAIN_S = 1.0  # until all is written again that the store lost, on average
 ENGINE_RESTART_S = 0.5  # after a request ended an engine
 BOUNDS = {"drain_ms": 1500, "grace_period_s": GRACE_PERIOD_S, "contact_ms": 2000, "ttl_max_s": 2}
 READY_TIMEOUT_S = 20.0  # for the start of a daemon, on a busy machine
@@ -200,6 +201,25 @@
         """Write the entry of a server to the store."""
         self.store.put("servers", server.name, server.entry(**fields))
 
+    async def return_store(self, copied):
+        """Let the store return to a copy; the operator and the servers write again what it lost.
+
+        The entries of servers that are gone expire.
+        """
+        before = dict(self.store.rows)
+        self.store.restore(copied)
+        shown = dict(self.store.rows)
+        lost = [
+            (place, value)
+            for place, (_, value) in before.items()
+            if place[0] in ("op", "servers") and shown.get(place, (0, None))[1] != value
+        ]
+        self.rng.shuffle(lost)
+        for place, value in lost:
+            await asyncio.sleep(self.rng.uniform(0.0, 2 * WRITE_AGAIN_S / len(lost)))
+            if self.store.rows.get(place) == shown.get(place):
+                self.store.put(*place, value)
+
     async def restart_crashed(self):
         """Start the engines again that a request ended."""
         for engine in self.engines:
--- a/src/lovageway/cli.py
+++ b/src/lovageway/cli.py
@@ -11,7 +11,15 @@
 
 import typer
 
-from lovageway import limitcommands, logcommands, operator, serving, settings, suspectcommands
+from lovageway import (
+    limitcommands,
+    logcommands,
+    operator,
+    serving,
+    settings,
+    storecommands,
+    suspectcommands,
+)
 from lovageway.platform import launch, names
 from lovageway.platform import settings as platform_settings
 
@@ -24,6 +32,7 @@
 app.add_typer(logcommands.app, name="logs")
 app.add_typer(suspectcommands.app, name="suspects")
 app.add_typer(limitcommands.app, name="limits")
+app.add_typer(storecommands.app, name="store")
 
 
 @app.command()
--- a/src/lovageway/forwarding/peers.py
+++ b/src/lovageway/forwarding/peers.py
@@ -33,6 +33,7 @@
 # After this many intervals, a live server has written its entry again, and that of another one has
 # expired: three without a write remove an entry.
 SETTLE_HEARTBEATS = 5.0
+MAX_DESCRIBED_ROWS = 100
 MEMBERS_TABLE = "daemons"
 MEMBERS_READ_INTERVAL_S = 15.0
 MEMBERS_RETRY_INTERVAL_S = 3.0
@@ -115,6 +116,24 @@
         """Return the number of calls made to the store."""
         return self._client.calls
 
+    def describe_store(self, now: float) -> dict[str, object]:
+        """Return what is known of the store and what it lost, by table, for operators."""
+        mirror = self._state.mirror
+        return {
+            table: {
+                "era": mirror.position(table).era,
+                "version": mirror.position(table).number,
+                "risen_s": round(now - watch.risen_at, 1) if watch.risen_at is not None else None,
+                "watched": watch.is_running,
+                "kept": [
+                    {"key": row.key, "row": list(row.revision), "removed": row.value is None}
+                    for row, _ in mirror.kept(table)[:MAX_DESCRIBED_ROWS]
+                ],
+                "kept_rows": len(mirror.kept(table)),
+            }
+            for table, watch in self._watches.items()
+        }
+
     def store_age_s(self, now: float) -> float:
         """Return the time since the store last answered, in seconds.
 
--- a/src/lovageway/forwarding/relay.py
+++ b/src/lovageway/forwarding/relay.py
@@ -17,6 +17,7 @@
 from lovageway.forwarding.members import READY
 from lovageway.forwarding.model import DaemonSettings
 from lovageway.forwarding.peers import Peers
+from lovageway.forwarding.rowhandler import TABLES
 from lovageway.forwarding.state import State
 from lovageway.platform import heads
 from lovageway.platform import settings as platform_settings
@@ -142,7 +143,8 @@
     def _answer_metrics(self, target: str) -> tuple[int, str, bytes]:
         state, now = self.state, self._loop.time()
         if target.partition("?")[0] == DUMP_PATH:
-            return 200, "application/json", json.dumps(state.dump(now)).encode()
+            fields = {**state.dump(now), "store": self._peers.describe_store(now)}
+            return 200, "application/json", json.dumps(fields).encode()
         telemetry = state.telemetry
         telemetry.set("store_age_seconds", self._peers.store_age_s(now))
         telemetry.set("config_version", state.routes.cfg.version if state.routes else 0)
@@ -151,6 +153,9 @@
         telemetry.set("store_calls_made", self._peers.store_calls)
         telemetry.set("log_lines_left_out", self.log.left_out_total)
         telemetry.set("suspects", len(state.poison.held(now)))
+        mirror = state.mirror
+        telemetry.set("store_era", max(mirror.position(table).era for table in TABLES))
+        telemetry.set("store_rows_kept", sum(len(mirror.kept(table)) for table in TABLES))
         telemetry.set("server_limits", state.statements.in_force)
         telemetry.set("live_daemons", state.members.count(now))
         telemetry.set("regions_without_load", len(state.regions_without_load(now)))
--- a/src/lovageway/forwarding/telemetry.py
+++ b/src/lovageway/forwarding/telemetry.py
@@ -40,6 +40,8 @@
 }
 GAUGES: dict[str, str] = {
     "store_age_seconds": "Time since the store last answered.",
+    "store_era": "Era of the store: rises when it returned from a copy and lost what it confirmed.",
+    "store_rows_kept": "Rows that hold here although the store lost them, until written again.",
     "config_version": "Version of the configuration in force.",
     "waiting_requests": "Requests that wait for a server.",
     "running_requests": "Requests in progress.",
