Refuse server entries that are out of range, and go on after one that no check foresees

Callers whose request was placed on a server with port 70000, 0 or -1, or with a NUL in its host, lost their connection without an answer: connecting raises OverflowError or ValueError, which is no OSError. An error of another kind ended the task that follows a table, and the daemon kept its last state for ever; no process ended by itself.

Entries are checked for their ranges in platform/, an address that cannot be connected to counts as unreachable, and an error in one row, one answer of the store or one tick is logged and does not end the work.

--- a/src/lovageway/forwarding/outbound.py
+++ b/src/lovageway/forwarding/outbound.py
@@ -291,6 +291,8 @@
                 )
         except TimeoutError as exc:
             raise OSError(f"{address} did not accept a connection in time") from exc
+        except (OverflowError, ValueError) as exc:
+            raise OSError(f"{address} is no address: {exc}") from exc
         self.opened += 1
         return conn
 
--- a/src/lovageway/forwarding/relay.py
+++ b/src/lovageway/forwarding/relay.py
@@ -172,7 +172,10 @@
             if now - self._last_tick_at > PAUSE_THRESHOLD_S:
                 self._on_pause(now - self._last_tick_at)
             self._last_tick_at = now
-            self._tick(now)
+            try:
+                self._tick(now)
+            except Exception as exc:  # the next tick repeats the work
+                self.log("fault", cause=repr(exc))
             if now - last_settings > SETTINGS_CHECK_S:
                 last_settings = now
                 if self._read_settings_mtime() != self._settings_mtime:
--- a/src/lovageway/forwarding/rowhandler.py
+++ b/src/lovageway/forwarding/rowhandler.py
@@ -8,6 +8,7 @@
 from lovageway.forwarding.state import State
 from lovageway.platform import names, records
 
+MAX_CAUSE = 300  # characters
 TABLES = (names.OPERATOR_TABLE, names.SERVERS_TABLE)
 
 
@@ -44,12 +45,10 @@
         """
         for row in rows:
             self._state.telemetry.add("rows_taken", source)
-            if row.table == names.SERVERS_TABLE:
-                self._apply_server(row, may_be_expired)
-            elif records.is_config(row):
-                self._apply_config(row, source)
-            else:
-                self._apply_evacuation(row, source)
+            try:
+                self._apply_row(row, source, may_be_expired)
+            except Exception as exc:  # one row must not keep the others from being applied
+                self._report_unreadable(row, exc)
         if rows:
             self._state.pump()
         complete = all(self._state.mirror.is_complete(table) for table in TABLES)
@@ -58,6 +57,14 @@
             self._state.log("ready", version=self._state.routes.cfg.version, source=source)
             self._on_ready()
 
+    def _apply_row(self, row: Row, source: str, may_be_expired: bool) -> None:
+        if row.table == names.SERVERS_TABLE:
+            self._apply_server(row, may_be_expired)
+        elif records.is_config(row):
+            self._apply_config(row, source)
+        else:
+            self._apply_evacuation(row, source)
+
     def _apply_config(self, row: Row, source: str) -> None:
         if row.value is None:
             return
@@ -114,4 +121,4 @@
 
     def _report_unreadable(self, row: Row, exc: Exception) -> None:
         self._state.telemetry.add("rows_unreadable", row.table)
-        self._state.log("row_unreadable", table=row.table, key=row.key, cause=str(exc))
+        self._state.log("row_unreadable", table=row.table, key=row.key, cause=str(exc)[:MAX_CAUSE])
--- a/src/lovageway/forwarding/storewatch.py
+++ b/src/lovageway/forwarding/storewatch.py
@@ -21,6 +21,7 @@
 MIN_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.0
 MAX_LOGGED_ROWS = 16
+MAX_CAUSE = 300  # characters
 MAX_STARTUP_BACKOFF_S = 0.25  # until the table has been read once
 
 
@@ -172,11 +173,14 @@
         while True:
             try:
                 await self._poll_once(wait_s)
-            except (StoreError, ValueError) as exc:
+            except Exception as exc:  # a watch that ended would leave the table as it is
                 if isinstance(exc, StoreError) and exc.status == store.HISTORY_LOST:
                     self._log("store_history_lost", table=self.table, after=self._cursor)
                     self._cursor = None
                     continue
+                if not isinstance(exc, StoreError | ValueError):
+                    self._log("watch_failed", table=self.table, cause=repr(exc)[:MAX_CAUSE])
+                    self._cursor = None
                 self._record_failure(exc)
                 await asyncio.sleep(backoff * (0.5 + self._rng.random()))
                 limit_s = (
@@ -285,7 +289,9 @@
     def _record_failure(self, exc: Exception) -> None:
         if self.failing_since is None:
             self.failing_since = self._clock()
-            self._log("store_lost", table=self.table, cause=str(exc), cursor=self._cursor)
+            self._log(
+                "store_lost", table=self.table, cause=str(exc)[:MAX_CAUSE], cursor=self._cursor
+            )
 
     def _record_answer(self) -> None:
         now = self._clock()
--- a/src/lovageway/platform/records.py
+++ b/src/lovageway/platform/records.py
@@ -3,11 +3,12 @@
 import json
 from collections.abc import Mapping
 from hashlib import blake2b
-from math import inf
+from ipaddress import IPv4Address
 from typing import Any
 
 from lovageway.forwarding.model import (
     Account,
+    Address,
     Content,
     Engine,
     Repeat,
@@ -28,6 +29,9 @@
 }
 # RecursionError comes from deeply nested values, OverflowError from infinite numbers.
 _UNREADABLE = (KeyError, TypeError, ValueError, AttributeError, OverflowError, RecursionError)
+MAX_SLOTS = 1_000_000
+MAX_TIME_MS = 1 << 53  # Unix time; a larger number is not exact as a fraction
+DAY_MS = 86_400_000  # no server stays cold for longer
 _STEADY_FIELDS = ("service", "address", "zone", "version", "slots", "state", "born")
 STATES = {"ready": False, "draining": True}  # for each state of a server: whether it is leaving
 
@@ -158,6 +162,18 @@
     )
 
 
+def _server_address(text: str) -> Address:
+    """Decode the address of a server, which is not looked up by name.
+
+    Raises
+    ------
+    ValueError
+        It is no IPv4 address with a port.
+    """
+    found = address(text)
+    return found._replace(host=str(IPv4Address(found.host)))
+
+
 def replica(row: Row, regions_of_zones: Mapping[str, str]) -> Replica:
     """Decode a backend server's entry.
 
@@ -172,19 +188,19 @@
         slots, cold_ms, born = fields["slots"], fields["cold_remaining_ms"], fields.get("born", 0)
         if any(isinstance(value, bool) for value in (slots, cold_ms, born)):
             raise UnreadableRowError(f"{row.table}/{row.key}: a number has another type")
-        if not isinstance(born, int) or not 0 <= cold_ms < inf:
+        if not isinstance(born, int) or not (0 <= born <= MAX_TIME_MS and 0 <= cold_ms <= DAY_MS):
             raise UnreadableRowError(
-                f"{row.table}/{row.key}: a time is not finite or not an integer"
+                f"{row.table}/{row.key}: a time is out of range or not an integer"
             )
         texts = (zone, service, state, fields["address"])
         if not all(isinstance(text, str) for text in texts) or state not in STATES:
             raise UnreadableRowError(f"{row.table}/{row.key}: a field has the wrong type or state")
-        if not isinstance(slots, int) or slots < 1:
-            raise UnreadableRowError(f"{row.table}/{row.key}: slots is not a positive integer")
+        if not isinstance(slots, int) or not 1 <= slots <= MAX_SLOTS:
+            raise UnreadableRowError(f"{row.table}/{row.key}: slots is not from 1 to {MAX_SLOTS}")
         return Replica(
             id=row.key,
             service=service,
-            address=address(fields["address"]),
+            address=_server_address(fields["address"]),
             zone=zone,
             region=regions_of_zones.get(zone, zone),
             slots=slots,
--- a/src/lovageway/platform/settings.py
+++ b/src/lovageway/platform/settings.py
@@ -27,10 +27,13 @@
     Raises
     ------
     ValueError
-        The port is not an integer.
+        The port is not an integer from 1 to 65535.
     """
     host, _, port = text.rpartition(":")
-    return Address(host, int(port))
+    number = int(port)
+    if not 0 < number < 65536:
+        raise ValueError(f"{text!r}: the port must be from 1 to 65535")
+    return Address(host, number)
 
 
 def load(path: Path) -> Result[DaemonSettings, str]:
--- a/src/lovageway/platform/store.py
+++ b/src/lovageway/platform/store.py
@@ -10,6 +10,7 @@
 from lovageway.platform import names
 
 MAX_ERA_DIGITS = 18
+MAX_VERSION = (1 << 63) - 1
 
 
 class UnreadableAnswerError(ValueError):
@@ -75,7 +76,7 @@
     try:
         fields = json.loads(body)
         rows = tuple(_row(item) for item in fields["rows"])
-        return Page(rows, int(fields["row_version"]), bool(fields.get("has_more")), era)
+        return Page(rows, _version(fields), bool(fields.get("has_more")), era)
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError, RecursionError) as exc:
         raise UnreadableAnswerError(repr(exc)) from exc
 
@@ -83,7 +84,14 @@
 def _row(fields: dict[str, Any]) -> Row:
     is_deleted = bool(fields.get("deleted"))
     value = None if is_deleted else _value(fields.get("value"))
-    return Row(str(fields["table"]), str(fields["key"]), value, int(fields["row_version"]))
+    return Row(str(fields["table"]), str(fields["key"]), value, _version(fields))
+
+
+def _version(fields: dict[str, Any]) -> int:
+    version = int(fields["row_version"])
+    if not 0 <= version <= MAX_VERSION:
+        raise ValueError(f"version {version:.3e} is out of range")
+    return version
 
 
 def _value(text: object) -> bytes:
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -169,7 +169,13 @@
             {**entry, "cold_remaining_ms": value}
             for value in (float("nan"), float("inf"), -1, True, "5")
         ]
-        wrong += [{**entry, "born": value} for value in (1.5, True, "1", None)]
+        wrong += [{**entry, "cold_remaining_ms": value} for value in (1e308, 10**300)]
+        wrong += [{**entry, "born": value} for value in (1.5, True, "1", None, -1, 10**300)]
+        wrong += [{**entry, "slots": value} for value in (0, -1, 10**300, 1.5)]
+        hosts = ("", "localhost", "1.2.3", "127.0.0.1\0", "::1")
+        addresses = [f"127.0.0.1:{port}" for port in (0, -1, 70000, 10**300, "", "x")]
+        addresses += [f"{host}:80" for host in hosts]
+        wrong += [{**entry, "address": text} for text in addresses]
         values = [json.dumps(fields).encode() for fields in wrong]
         for value in (*values, b"[" * 100_000, b'{"a":' * 100_000):
             with self.subTest(value=value[:60]), self.assertRaises(records.UnreadableRowError):
