Take during a planned stop only what can end within the grace, and answer the rest before its end

Requests that a stopping daemon took late were cut by the end of the process: calls whose server takes long, and generations that become longer than their client's estimate. Cause: admission compared the expected time with the grace, and nothing ended a request before the process was killed.

Now a call that may not be repeated counts with all the time that it has, a generation that may not be resumed with its longest output; other calls end at nine tenths of the grace, and what has no answer then gets one (502, or 503 if nothing was sent). Three tests fail before.

--- a/src/lovageway/forwarding/forwarder.py
+++ b/src/lovageway/forwarding/forwarder.py
@@ -33,14 +33,19 @@
         self.status = 0
         self.outcome = "gone"
         self.attempt_id: str | None = None
+        self._given_up = False
 
     async def run(self) -> None:
         """Serve the request and write exactly one log line for it."""
         try:
             await self._run()
         except asyncio.CancelledError:
-            self.outcome = "client_gone"
-            raise
+            if not self._given_up:
+                self.outcome = "client_gone"
+                raise
+            sent = self.request is not None and self.request.sends > 0
+            code = Code.OUTCOME_UNKNOWN_NOW if sent else Code.LEAVING
+            self.refuse(Refusal(code, retry_after_s=None if sent else 0.0))
         except Exception as exc:  # an unexpected error ends only this request
             self.state.log("fault", id=self.attempt_id, cause=repr(exc))
             self.outcome = "fault"
@@ -50,6 +55,18 @@
                 self.request.reserved.release()
             self._log_request()
 
+    def give_up(self, task: asyncio.Task[None]) -> None:
+        """End a request whose answer has not begun, and send its final answer.
+
+        Parameters
+        ----------
+        task
+            The task of `run`.
+        """
+        if not self.status:
+            self._given_up = True
+            task.cancel()
+
     async def _run(self) -> None:
         try:
             head = heads.request(self.inbound.method, self.inbound.target, self.inbound.headers)
--- a/src/lovageway/forwarding/lifecycle.py
+++ b/src/lovageway/forwarding/lifecycle.py
@@ -5,11 +5,15 @@
 within its grace period, and closes its listener once the earlier answers have expired.
 """
 
+from math import inf
+
 from lovageway.forwarding.members import LEAVING, READY, STARTING
 from lovageway.forwarding.model import Bounds
 
 # Share of the grace period that requests may use; the end of the process aborts any later ones.
 GRACE_SHARE = 0.8
+# Share of the grace period after which requests that are not answered get their final answer.
+ANSWER_SHARE = 0.9
 ACCEPT_SHARE = 0.55  # share of the grace period during which new connections are accepted
 IDLE_CLOSE_DELAY_S = 2.2  # from the start of the stop until idle connections are closed
 
@@ -47,6 +51,13 @@
             return True
         return now + expected_s < self._leaving_at + GRACE_SHARE * self.bounds.grace_s
 
+    @property
+    def answer_by(self) -> float:
+        """Return the time by which every request has its answer; infinite without a stop."""
+        if self._leaving_at is None:
+            return inf
+        return self._leaving_at + ANSWER_SHARE * self.bounds.grace_s
+
     def accepts_connections(self, now: float) -> bool:
         """Return whether new connections are accepted."""
         if self._leaving_at is None:
--- a/src/lovageway/forwarding/listeners.py
+++ b/src/lovageway/forwarding/listeners.py
@@ -57,12 +57,13 @@
     def __init__(self, state: State) -> None:
         super().__init__(state, "frontend")
         self.tasks: dict[ClientConnection, asyncio.Task[None]] = {}
+        self._forwarders: dict[ClientConnection, Forwarder] = {}
 
     def handle(self, conn: ClientConnection, inbound: Inbound) -> None:
         """Serve a request in a task of its own."""
         forwarder = Forwarder(self.state, conn, inbound)
         task = asyncio.get_running_loop().create_task(forwarder.run())
-        self.tasks[conn] = task
+        self.tasks[conn], self._forwarders[conn] = task, forwarder
         task.add_done_callback(lambda done: self._done(conn, done))
 
     def on_disconnect(self, conn: ClientConnection) -> None:
@@ -74,7 +75,12 @@
 
     def _done(self, conn: ClientConnection, task: asyncio.Task[None]) -> None:
         if self.tasks.get(conn) is task:
-            del self.tasks[conn]
+            del self.tasks[conn], self._forwarders[conn]
+
+    def give_up_requests(self) -> None:
+        """Send the final answer to each request that is not answered yet."""
+        for conn, forwarder in list(self._forwarders.items()):
+            forwarder.give_up(self.tasks[conn])
 
 
 class LocalListener(Listener):
--- a/src/lovageway/forwarding/relay.py
+++ b/src/lovageway/forwarding/relay.py
@@ -202,6 +202,8 @@
             self._check_stopped(now)
 
     def _check_stopped(self, now: float) -> None:
+        if now >= self.state.lifecycle.answer_by:
+            self._frontend.give_up_requests()
         if self.state.lifecycle.accepts_connections(now):
             return
         if self._frontend_server is not None:
--- a/src/lovageway/forwarding/request.py
+++ b/src/lovageway/forwarding/request.py
@@ -68,6 +68,8 @@
         now = state.clock()
         left = min(route.timeout_s, head.deadline_s if head.deadline_s is not None else 1e9)
         self.deadline_at = inbound.arrived_at + left
+        if route.repeat is not Repeat.STREAM:
+            self.deadline_at = min(self.deadline_at, state.lifecycle.answer_by)
         self.started_at = now
         self.tried: set[str] = set()
         self.possible_runs = 0  # attempts after which the request may have been executed
@@ -142,12 +144,22 @@
     return first or second
 
 
-def expected_s(request: Request) -> float:
-    """Return the expected duration of a request in seconds."""
+def longest_s(request: Request) -> float:
+    """Return how long a request may take in seconds, to decide whether it can still be served.
+
+    Its client could not repeat a call or a generation that the end of the process cuts off, unless
+    the route allows it; so these count with all the time, or all the output, that they may use.
+    """
     generation = request.head.generation
+    if request.route.repeat is Repeat.ONCE:
+        deadline_s = request.head.deadline_s
+        timeout_s = request.route.timeout_s
+        return timeout_s if deadline_s is None else min(timeout_s, deadline_s)
     if generation is None:
         return EXPECTED_CALL_S
-    return EXPECTED_CALL_S + placement.expected_output(generation) * placement.TOKEN_S
+    is_final = request.route.repeat is Repeat.STREAM and not request.route.resumable
+    tokens = generation.output_limit if is_final else placement.expected_output(generation)
+    return EXPECTED_CALL_S + tokens * placement.TOKEN_S
 
 
 def admit(state: State, inbound: Inbound, head: RequestHead) -> Result[Request, Refusal]:
@@ -169,7 +181,7 @@
     request = Request(state, inbound, head, route, account, service)
     now = state.clock()
     state.budget(service.name).on_request(now)
-    if not state.lifecycle.can_finish(expected_s(request), now):
+    if not state.lifecycle.can_finish(longest_s(request), now):
         return Error(Refusal(Code.LEAVING, retry_after_s=0.0))
     blocked = hold_back(request)
     return Error(blocked) if blocked is not None else Ok(request)
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from standins.replica import Replica
+from standins.replica import Engine, Replica
 
 from lovageway.forwarding.mirror import FIRST
 from tests.relayworld import KEY, RelayCase, route
@@ -328,6 +328,67 @@
         async with asyncio.timeout(20):
             await self.relays[0].stopped.wait()
 
+    async def test_a_call_that_may_not_finish_in_the_grace_is_refused_unless_it_may_be_repeated(
+        self,
+    ):
+        # Guards against calls that are taken late in the grace and cut by the end of the process.
+        server = Replica()
+        routes = [
+            route(timeout_ms=20000),
+            route(
+                name="o",
+                prefix="/o/",
+                route_kind="non_idempotent",
+                timeout_ms=20000,
+                max_attempts=1,
+            ),
+        ]
+        await self.serve(server, routes=routes)
+        self.relays[0].stop()
+        once = await self.ask(method="POST", target="/o/x", body=b"pay", attempt="id-o")
+        self.assertEqual((once.status, server.executions), (503, []))
+        short = await self.ask(
+            method="POST", target="/o/x", body=b"pay", attempt="id-s", Deadline_Ms="1000"
+        )
+        self.assertEqual((short.status, server.executions), (200, ["id-s"]))
+        self.assertEqual((await self.ask(attempt="id-r")).status, 200)
+
+    async def test_a_generation_is_taken_during_a_stop_only_if_its_longest_output_fits(self):
+        # Guards against streams that are cut by the end of the process, since their output is
+        # longer than their client expects. Found on halvorsen-quotes, all daemons stopped in turn.
+        engine = Engine(events=2)
+        stream = route(
+            route_kind="streaming", service="llm", timeout_ms=39000, sticky_sessions=True
+        )
+        await self.serve(engine, routes=[{**stream, "max_attempts": 1}])
+        self.relays[0].stop()
+        statuses = [
+            (
+                await self.ask(attempt=f"id-{limit}", Token_Usage=f"30,{limit}", Length_Hint="20")
+            ).status
+            for limit in (2000, 100)
+        ]
+        self.assertEqual((statuses, engine.executions), ([503, 200], ["id-100"]))
+
+    async def test_what_runs_at_the_end_of_the_grace_is_answered(self):
+        # Guards against a connection that ends without an answer when the process is killed.
+        server = Replica()
+        server.behaviour = "hang"
+        await self.serve(server, routes=[route(timeout_ms=60000, max_attempts=1)])
+        relay = self.relays[0]
+        before, during = await self.client(), await self.client()
+        await before.send(attempt="id-b")
+        await self.until(lambda: server.executions)
+        began = relay._loop.time()
+        relay.stop()
+        await during.send(attempt="id-d")
+        for client in (before, during):
+            reply = await client.reply()
+            self.assertIn(reply.status, (502, 504))
+        self.assertLess(relay._loop.time() - began, relay.cfg.bounds.grace_s)
+        async with asyncio.timeout(5):
+            await relay.stopped.wait()
+
     async def test_a_daemon_ends_a_tick_after_its_listener(self):
         # Guards against cutting off a connection that was accepted in the loop iteration in which
         # the listener closes: it is registered one iteration later.
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -33,3 +33,5 @@
         lifecycle.on_stop(10.0)
         self.assertTrue(lifecycle.can_finish(1.0, 11.0))
         self.assertFalse(lifecycle.can_finish(9.0, 11.0))
+        self.assertLess(11.0, lifecycle.answer_by)
+        self.assertLess(lifecycle.answer_by, 10.0 + BOUNDS.grace_s)
