--- a/standins/replica.py
+++ b/standins/replica.py
@@ -95,7 +95,8 @@
         """Return the entry that the server writes to the store, with some fields replaced."""
         defaults = {
             "service": self.service,
-            "address": self.address,
+            # A server that was not started has no port yet; an entry without one names no server.
+            "address": self.address if self.port else f"{self.host}:1",
             "zone": self.zone,
             "version": "v1",
             "slots": 8,
--- a/tests/test_fleet_restored.py
+++ b/tests/test_fleet_restored.py
@@ -33,6 +33,7 @@
         world.put("servers", "i-2", json.dumps(Replica("i-2").entry()).encode())
         await asyncio.sleep(APPLY_S)
         self.assertEqual({*world.versions().values()}, {3})
+        self.assertTrue(all(world.state(ip).replicas.get("i-2") for ip in world.ips))
         world.store_refuses.update(world.ips)
         await asyncio.sleep(1.0)
         if loses:
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -165,6 +165,7 @@
     def test_invalid_numbers_and_deeply_nested_values_are_refused(self):
         # Guards against a server that stays cold forever, and against rows that crash the daemon.
         entry = Replica().entry()
+        self.assertEqual(records.replica(self.row(entry), {}).id, "i-1")
         wrong = [
             {**entry, "cold_remaining_ms": value}
             for value in (float("nan"), float("inf"), -1, True, "5")
