Take the store's word on servers only within the era in which they had the time to write

A second return of the store in the moment in which the time to write again after the first one ended was read as settled, so the copy's rows replaced what was confirmed. Found by reading; tests.test_mirror covers the decision, this moment has no test.

--- a/src/lovageway/forwarding/storewatch.py
+++ b/src/lovageway/forwarding/storewatch.py
@@ -205,7 +205,7 @@
         rows = [row._replace(era=era) for row in page.rows]
         revision = Revision(era, page.version)
         if is_complete:
-            settled = self._is_settled()
+            settled = self._is_settled() and era == self.era
             self._settle_at = None if settled else self._settle_at
             removals = await self._fetch_removals(rows, era)
             applied = self._mirror.replace(self.table, rows, revision, removals, settled=settled)
