Send suspects and limits by one sender of news

The spreads of suspects and of limits had the same timer, limit of bytes, reuse and repeats, each with a copy (found by duplicates). One class has them now.

--- a/src/lovageway/forwarding/poisonspread.py
+++ b/src/lovageway/forwarding/poisonspread.py
@@ -4,26 +4,19 @@
 a row to return its suspect to service.
 """
 
-import asyncio
-from collections.abc import Sequence
-
 import msgpack  # type: ignore[import-untyped]
 
 from lovageway.forwarding import gossip
 from lovageway.forwarding.model import Row
+from lovageway.forwarding.newssender import NewsLimits, NewsSender
 from lovageway.forwarding.poison import News, Suspect
-from lovageway.forwarding.rationing import RationedSender
 from lovageway.forwarding.state import State
 from lovageway.forwarding.storewatch import StoreClient, StoreError
 from lovageway.forwarding.traits import MAX_LABEL
 
 SUSPECTS_TABLE = "suspects"
 MAX_ROWS = 256
-BYTES_PER_S = 8000.0  # sent to other daemons, in all
-BURST_BYTES = 128_000.0
-ANNOUNCE_DELAY_S = 0.02
-NEWS_REUSE_S = 0.1  # one message serves the groups of receivers of a round
-REPEATS_PER_S = 8.0  # datagrams with suspects that did not change
+LIMITS = NewsLimits(bytes_per_s=8000.0, burst_bytes=128_000.0, repeats_per_s=8.0)
 # The first daemon in an order that differs by suspect writes its row, the next ones if it does not.
 WRITE_WAIT_S = 2.0
 MAX_REWRITE_RANK = 10  # bounds the wait for rows that the store lost
@@ -62,12 +55,11 @@
     ) -> None:
         self._state = state
         self._client = client
-        self._sender = RationedSender(sockets, port, state.rng, BYTES_PER_S, BURST_BYTES)
-        self._repeat_at = 0.0
-        self._news: bytes | None = None
-        self._news_until = 0.0
-        state.announce_crash = self.announce_crash
-        self._announcement: asyncio.TimerHandle | None = None
+        self._sender = NewsSender(state, sockets, port, LIMITS, self._encode, self._report_changes)
+        self.send_to = self._sender.send_to
+        self.send_urgent = self._sender.send_urgent
+        self.close = self._sender.close
+        state.announce_crash = self._sender.announce
         self._writing = False
         self._write_at = 0.0
         self._loaded = False
@@ -75,32 +67,12 @@
         self._returned_at = float("-inf")  # when the store was found to have returned from a copy
         self._lost: set[bytes] = set()  # suspects whose rows were lost then and are not back
 
-    def announce_crash(self) -> None:
-        """Report a crash that this daemon saw; all requests that it interrupted share a message."""
-        if self._announcement is None:
-            loop = asyncio.get_running_loop()
-            self._announcement = loop.call_later(ANNOUNCE_DELAY_S, self.send_urgent)
-
-    def close(self) -> None:
-        """Cancel a report that was not sent yet."""
-        if self._announcement is not None:
-            self._announcement.cancel()
-
-    def send_urgent(self) -> None:
-        """Send what changed to the daemons that pass it on."""
-        self._announcement = None
-        now = self._state.clock()
-        self._news_until = now  # the message is to have this crash
-        self.send_to(self._state.members.urgent_targets(now), now)
-        self._report_changes(now)
-
     def on_peer(self, news: News) -> None:
         """Take the records of another daemon; pass them on at once if they make a suspect."""
         now = self._state.clock()
         self._state.poison.on_peer(news, now)
         if self._report_changes(now):
-            self._news_until = now
-            self.send_to(self._state.members.urgent_targets(now), now)
+            self.send_urgent()
 
     def tick(self, now: float) -> None:
         """Report changed suspects and update the store."""
@@ -123,23 +95,7 @@
             is_any_new |= is_new
         return is_any_new
 
-    # Other daemons.
-
-    def send_to(self, ips: Sequence[str], now: float, *, repeat: bool = False) -> None:
-        """Send what changed to some daemons, within the limit of bytes."""
-        if not ips:
-            return
-        if repeat or now >= self._repeat_at:
-            data = self._encode(now, repeat=True)
-            self._repeat_at = now + len(ips) / REPEATS_PER_S
-        else:
-            if now >= self._news_until:
-                self._news, self._news_until = self._encode(now, repeat=False), now + NEWS_REUSE_S
-            data = self._news
-        if data is not None:
-            self._sender.send(data, ips, now)
-
-    def _encode(self, now: float, *, repeat: bool) -> bytes | None:
+    def _encode(self, now: float, repeat: bool) -> bytes | None:
         news = self._state.poison.news(now, repeat=repeat)
         if news is None:
             return None
--- a/tests/test_poisonspread.py
+++ b/tests/test_poisonspread.py
@@ -8,8 +8,7 @@
 from lovageway.forwarding.members import READY, MemberFacts, Members
 from lovageway.forwarding.poison import PoisonDetector
 from lovageway.forwarding.poisonspread import (
-    BURST_BYTES,
-    BYTES_PER_S,
+    LIMITS,
     PoisonSpread,
     decode_row,
     encode_row,
@@ -76,7 +75,7 @@
                 parts = [f"{tick}-{number}-{part}" for part in range(10)]
                 detector.on_crash(part_traits("service", parts), server_token("i", tick), now)
             sender.send_to([f"10.0.0.{n}" for n in range(135)], now)
-        self.assertLess(sockets.bytes, BURST_BYTES + BYTES_PER_S * seconds)
+        self.assertLess(sockets.bytes, LIMITS.burst_bytes + LIMITS.bytes_per_s * seconds)
 
 
 class Urgent(unittest.TestCase):
--- a/tests/test_statementspread.py
+++ b/tests/test_statementspread.py
@@ -10,7 +10,7 @@
 from lovageway.forwarding.members import READY, MemberFacts, Members
 from lovageway.forwarding.model import Statement
 from lovageway.forwarding.statements import NEWS_S, Statements
-from lovageway.forwarding.statementspread import BURST_BYTES, BYTES_PER_S, StatementSpread
+from lovageway.forwarding.statementspread import LIMITS, StatementSpread
 from tests.test_poisonspread import CONTROL_BYTES_PER_S, RECEIVERS, CountedSocket
 
 SERVERS = 5200  # at the target size
@@ -62,7 +62,7 @@
         # Guards against a link that is full of such messages when a whole service is in need.
         seconds = 60
         sent = bytes_per_s(RECEIVERS[390], SERVERS, seconds) * seconds
-        self.assertLess(sent, BURST_BYTES + BYTES_PER_S * seconds)
+        self.assertLess(sent, LIMITS.burst_bytes + LIMITS.bytes_per_s * seconds)
 
 
 class Fleet(unittest.TestCase):
