--- a/bench/ablations.py
+++ b/bench/ablations.py
@@ -84,8 +84,8 @@
     "queue-order": Ablation(
         "order of waiting requests by target time and priority",
         "admissionqueue.py",
-        "return (now > self.rank.target_at, self.rank.priority, self.rank.arrived_at)",
-        "return (False, 0, self.rank.arrived_at)",
+        "return (now > self.target_at, self.priority, self.arrived_at)",
+        "return (False, 0, self.arrived_at)",
     ),
 }
 
