--- a/soak/world.py
+++ b/soak/world.py
@@ -204,15 +204,16 @@
     async def return_store(self, copied):
         """Let the store return to a copy; the operator and the servers write again what it lost.
 
-        The entries of servers that are gone expire.
+        That includes removals: the operator takes back once more what it took back since the copy,
+        and the entries of servers that are gone expire.
         """
         before = dict(self.store.rows)
         self.store.restore(copied)
         shown = dict(self.store.rows)
         lost = [
             (place, value)
-            for place, (_, value) in before.items()
-            if place[0] in ("op", "servers") and shown.get(place, (0, None))[1] != value
+            for place, (version, value) in before.items()
+            if place[0] in ("op", "servers") and version > copied[1]
         ]
         self.rng.shuffle(lost)
         for place, value in lost:
