Remove a query of limits that nothing calls

Statements.has_records lost its only caller when suspects and limits got one sender of news. Found by reading the change; behaviour is the same.

--- a/src/lovageway/forwarding/statements.py
+++ b/src/lovageway/forwarding/statements.py
@@ -84,11 +84,6 @@
         """Return the number of limits in force."""
         return self._in_force
 
-    @property
-    def has_records(self) -> bool:
-        """Return whether any server named a limit lately."""
-        return bool(self._records)
-
     def on_answer(
         self, server: bytes, statement: Statement, sent_at: float, now: float
     ) -> Change | None:
