--- a/review/lib/peers.py
+++ b/review/lib/peers.py
@@ -103,6 +103,7 @@
 
     service, slots = "crock-llm", 24
     fleet = {}
+    framed = True  # whether the answers have chunks; without, a stream ends with its connection
 
     def __init__(self, world, name, zone, token_s=0.01):
         super().__init__(world, name, zone)
@@ -137,7 +138,8 @@
         self.world.note("runs", attempt, self.name, after=began)
         prompt, limit = (int(part) for part in headers["token-usage"].split(","))
         await asyncio.sleep(prompt / 14_000 if not began else 0.01)
-        framing = [("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]
+        framing = [("Content-Type", "text/event-stream")]
+        framing += [("Transfer-Encoding", "chunked")] if self.framed else [("Connection", "close")]
         writer.write(answer(200, b"", [*self.good(attempt), *framing], length=False))
         backup = Engine.fleet.get(headers.get("kv-backup"))
         last = limit // 4
@@ -151,11 +153,12 @@
                 if backup is not None:
                     backup.copies[attempt] = number
                 event = b"id: %d\ndata: %b %d\n\n" % (number, attempt.encode(), number)
-                writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+                writer.write(b"%x\r\n%b\r\n" % (len(event), event) if self.framed else event)
                 await writer.drain()
-            writer.write(b"0\r\n\r\n")
+            if self.framed:
+                writer.write(b"0\r\n\r\n")
             self.world.note("ran", attempt, self.name)
-            return True
+            return self.framed
         finally:
             self.made.pop(attempt, None)
 
@@ -168,6 +171,7 @@
         made = self.made[attempt]
         if fields.get("last"):
             self.stopped.add(attempt)
+            self.world.note("stops", attempt, self.name, after=made)
         await asyncio.sleep(0.05)
         self.copies[f"h-{attempt}"] = made
         body = json.dumps({"kv_handle": f"h-{attempt}", "created": made}).encode()
