--- a/review/lib/peers.py
+++ b/review/lib/peers.py
@@ -197,13 +197,13 @@
         fields |= {"Authorization": f"Bearer {key}", "Content-Length": str(len(body))}
         fields |= {name.replace("_", "-"): value for name, value in headers.items()}
         lines = [f"{method} {target} HTTP/1.1", *(f"{k}: {v}" for k, v in fields.items())]
-        status, parts, how = 0, b"", "closed"
+        status, parts, how, kept = 0, b"", "closed", self.writer is not None
         try:
             async with asyncio.timeout(deadline_ms / 1000):
                 if self.writer is None:
                     host, port = self.daemon.host, self.daemon.ports[0]
                     self.reader, self.writer = await asyncio.open_connection(host, port)
-                world.note("sent", attempt, self.daemon.name, target=target, key=key)
+                world.note("sent", attempt, self.daemon.name, target=target, key=key, kept=kept)
                 self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
                 async with asyncio.timeout(patience_s):
                     head = (await self.reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
