Decide the end of a stream by one rule, and let the answer to a request to stop decide

Cause: the daemon asks the source to stop the generation; the source closes the stream without its end. Without framing the close is the only sign, and it came between two events. `_is_cut_off` did not know that this daemon had asked for the stop, so the close counted as the end of the generation, and the migration with the copy was cancelled.

Why this works: `streamend.judge` knows who ended the stream. After a request to stop, the answer to that request decides: 404 means that the generation ended by itself, anything else that it did not. Same cause nearby: a server stops at the deadline that it was given, which looked complete without framing; a close by this daemon was marked as a complete answer; after 409 the run was not stopped.

--- a/src/lovageway/forwarding/migrator.py
+++ b/src/lovageway/forwarding/migrator.py
@@ -45,6 +45,7 @@
         self._run = run
         self._state = request.state
         self.stopping = False  # whether the source was asked to stop the generation
+        self.ended_before_stop = False  # whether it answered that the generation had ended
         self._stop_s = 0.0  # duration of that call
 
     def destination(
@@ -144,6 +145,9 @@
                 stopped_at = state.clock()
                 self.stopping = True
                 result = await self._copy(source, to, last=True)
+                self.ended_before_stop = result.status == 404
+                if result.status == 409:
+                    self.stopping = False  # the call was refused, the generation goes on
                 self._stop_s = state.clock() - stopped_at
                 state.telemetry.observe("move_seconds", self._stop_s)
         finally:
--- a/src/lovageway/forwarding/outbound.py
+++ b/src/lovageway/forwarding/outbound.py
@@ -43,6 +43,7 @@
         self._reset()
         self.reusable = True
         self.closed = False
+        self._closed_here = False  # whether this daemon, not the server, ended the connection
         self.idle_since = clock()
         self.max_idle_s = DEFAULT_MAX_IDLE_S
         self.answered = 0
@@ -88,7 +89,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """End the answer; one without a length is complete if the server closed cleanly."""
         self.closed, self.reusable = True, False
-        complete = self._body_ends_at_eof and exc is None and not self._skipping
+        complete = (
+            self._body_ends_at_eof and exc is None and not self._skipping and not self._closed_here
+        )
         if self._exchange is not None:
             self._exchange.ended_by_close = complete
         if self._exchange is not None and not isinstance(exc, ConnectionError | None):
@@ -200,6 +203,7 @@
     def close(self) -> None:
         """Abort the connection; the server then cancels the request that it runs for it."""
         self.reusable = False
+        self._closed_here = True
         if self._transport is not None and not self.closed:
             self._transport.abort()
 
--- a/src/lovageway/forwarding/streams.py
+++ b/src/lovageway/forwarding/streams.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from lovageway.codes import Code
-from lovageway.forwarding import migration
+from lovageway.forwarding import migration, streamend
 from lovageway.forwarding.attempt import (
     AttemptOptions,
     AttemptResult,
@@ -77,6 +77,8 @@
         self.migrator: Migrator | None = None
         self.task: asyncio.Task[CopiedGeneration | None] | None = None  # of the migration
         self.checkpoint: Entry | None = None  # engine that keeps the checkpoint
+        # Until when to wait for the result of a migration, if the source's stream has ended.
+        self._handover_by: float | None = None
 
     @property
     def started(self) -> bool:
@@ -140,8 +142,9 @@
         if not task.done() and self.migrator is not None and not self.migrator.stopping:
             task.cancel()
             return None
+        by, self._handover_by = self._handover_by, None
         try:
-            async with asyncio.timeout(HANDOVER_WAIT_S):
+            async with asyncio.timeout_at(by or self.state.clock() + HANDOVER_WAIT_S):
                 return await task
         except TimeoutError:
             return None
@@ -265,7 +268,11 @@
                 record_statement(self.request, entry, head, self.sent_at)
             if part.end:
                 crashed = exchange.fault is None
-                complete = part.complete and not self._is_cut_off(head, splitter, exchange)
+                complete = part.complete
+                if head is not None and _is_stream(head):
+                    complete = await self._is_whole(
+                        self._end_facts(part.complete, splitter, exchange)
+                    )
                 return self._classify(entry, head, bytes(body), splitter, complete, crashed)
             if head is None:
                 continue
@@ -289,18 +296,47 @@
             if events:
                 until = state.clock() + self._stall_timeout_s()
 
-    def _is_cut_off(
-        self, head: AnswerHead | None, splitter: EventSplitter, exchange: Exchange
-    ) -> bool:
-        """Return whether a stream ended inside an event, or before any that its end could confirm.
+    def _end_facts(
+        self, arrived_whole: bool, splitter: EventSplitter, exchange: Exchange
+    ) -> streamend.EndFacts:
+        return streamend.EndFacts(
+            arrived_whole=arrived_whole,
+            ended_by_close=exchange.ended_by_close,
+            has_partial_event=bool(splitter.rest.strip()),
+            begun=self.begun,
+            started=self.started,
+            stop_requested=(
+                self.task is not None and self.migrator is not None and self.migrator.stopping
+            ),
+            deadline_passed=self.request.left_s() <= 0,
+        )
 
-        A complete answer without events is passed on only as a whole, not within a stream.
-        """
-        if head is None or head.status != 200 or head.not_run or not is_authentic(head):
-            return False
-        if splitter.rest.strip():
-            return self.started or exchange.ended_by_close
-        return exchange.ended_by_close and not self.begun
+    async def _is_whole(self, facts: streamend.EndFacts) -> bool:
+        """Return whether a stream that ended is whole."""
+        end = streamend.judge(facts)
+        if end is streamend.StreamEnd.WHOLE:
+            return True
+        pending = end is streamend.StreamEnd.STOP_PENDING
+        whole = pending and await self._ended_before_stop()
+        if facts.ended_by_close:
+            self.state.log(
+                "stream_end",
+                id=self.request.head.attempt_id,
+                server=self.entry.id if self.entry is not None else None,
+                end=end.value,
+                whole=whole,
+                events=self.event_timing.events,
+                deadline_passed=facts.deadline_passed,
+            )
+        return whole
+
+    async def _ended_before_stop(self) -> bool:
+        """Return whether the server answers the request to stop that the run had already ended."""
+        task, migrator = self.task, self.migrator
+        assert task is not None and migrator is not None
+        self._handover_by = self.state.clock() + HANDOVER_WAIT_S
+        await asyncio.wait({task}, timeout=HANDOVER_WAIT_S)
+        return task.done() and migrator.ended_before_stop
 
     def _stall_timeout_s(self) -> float:
         """Return the time to wait for the next event; the first one may take until the deadline."""
@@ -471,3 +507,8 @@
             limit=generation.output_limit,
             seconds_per_token=self.event_timing.mean_gap_s / tokens_per_event,
         )
+
+
+def _is_stream(head: AnswerHead) -> bool:
+    """Return whether an answer is a stream of events of the server that ran the request."""
+    return head.status == 200 and not head.not_run and is_authentic(head)
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -217,6 +217,9 @@
         self.kv_caches = {}
         self.migration_status = 200
         self.migration_s = 0.0
+        # What becomes of a request to stop a generation (`last`): "" stops it, "ended" finds that
+        # the generation has just ended by itself, "lost" stops it and answers nothing.
+        self.stop_outcome = ""
         self.migrations = []
         self.freed_paths = []  # paths of requests to free a copied KV cache
         self.replayed_events = 0  # events that a resumed stream sends again before new ones
@@ -259,16 +262,19 @@
 
     async def _migrate(self, fields, writer):
         self.migrations.append(fields)
-        await asyncio.sleep(self.migration_s)
         attempt = fields["id"]
-        if self.migration_status != 200 or attempt not in self.generated_events:
+        if fields.get("last") and self.migration_status == 200:
+            self.stopped.add(attempt)
+        await asyncio.sleep(self.migration_s)
+        if fields.get("last") and self.stop_outcome == "lost":
+            return False
+        ended = fields.get("last") and self.stop_outcome == "ended"
+        if self.migration_status != 200 or attempt not in self.generated_events or ended:
             writer.write(
                 answer(self.migration_status if self.migration_status != 200 else 404, b"{}")
             )
             return True
         handle = f"h-{attempt}"
-        if fields.get("last"):
-            self.stopped.add(attempt)
         Engine.fleet[fields["to"]].kv_caches[f"{self.address}/{handle}"] = self.generated_events[
             attempt
         ]
@@ -333,6 +339,8 @@
         """Send a stream that ends with its connection; with "unframed_cut", within an event."""
         writer.write(answer(200, b"", headers, length=False))
         for number in range(first + 1, self.events + 1):
+            if attempt in self.stopped:
+                break
             event = self.event(attempt, number)
             if self.behaviour == "unframed_cut" and number == first + 3:
                 writer.write(event[:-4])
@@ -340,5 +348,6 @@
             writer.write(event)
             self.generated_events[attempt] = number
             await writer.drain()
+            await asyncio.sleep(self.event_interval_s)
         await writer.drain()
         return False
