Send nothing further for a request whose time is used up, whatever copy is at hand

Cause: `StreamRun._serve` asked for a continuation from the checkpoint before `reserve_retry`, the only place that looked at the time left. Without time the next attempt is SILENT at once and has a new checkpoint, so the loop ended only with the client.

Five of the six new tests (tests.test_streams.TimeUsedUp) fail without the change; the sixth, events that are always ready, held already.

Why this works: every further send asks `Request.has_time` first, and `attempt.send` neither waits for a connection nor sends beyond the time. Nearby: a migration that ended late, a client that does not read, a connection that does not open, and time-outs that counted as failures of sound engines.

--- a/src/lovageway/forwarding/attempt.py
+++ b/src/lovageway/forwarding/attempt.py
@@ -67,7 +67,7 @@
     Raises
     ------
     NotSentError
-        The connection to the server could not be opened.
+        The connection to the server could not be opened in the time left.
     """
     state = request.state
     if not counted:
@@ -75,18 +75,22 @@
     attempt_id = request.head.attempt_id
     no_body = request.inbound.method == "HEAD"
     exchange = Exchange(attempt_id, no_body=no_body, max_bytes=max_bytes)
-    conn = None
+    conn, sent = None, False
     try:
         try:
             conn = await state.pool.acquire(
-                connection_key(entry), entry.replica.address, attempt_id
+                connection_key(entry), entry.replica.address, attempt_id, request.answer_time_s()
             )
         except OSError as exc:
             entry.sends.withdraw()
-            entry.on_unreachable(state.clock())
             request.tried.add(entry.id)
-            state.log("server_unreachable", id=attempt_id, server=entry.id)
+            if request.answer_time_s() > 0:
+                entry.on_unreachable(state.clock())
+                state.log("server_unreachable", id=attempt_id, server=entry.id)
             raise NotSentError from exc
+        if request.answer_time_s() <= 0:
+            entry.sends.withdraw()
+            raise NotSentError
         added = heads.Forwarded(
             deadline_s=request.left_s(),
             server_id=entry.id,
@@ -99,6 +103,7 @@
         request.sends += 1
         request.servers.append(entry.id)
         request.tried.add(entry.id)
+        sent = True
         conn.begin(exchange, heads.forwarded(request.head, added, request.inbound.body))
         yield exchange
     finally:
@@ -106,7 +111,7 @@
             state.telemetry.add("answers_rejected", exchange.fault)
             state.log("answer_rejected", id=attempt_id, server=entry.id, fault=exchange.fault)
         if conn is not None:
-            if exchange.ended:
+            if exchange.ended or not sent:
                 state.pool.release(connection_key(entry), conn)
             else:
                 conn.close()
@@ -120,7 +125,12 @@
 
 
 async def next_part(exchange: Exchange, limit_s: float) -> Part | None:
-    """Return the next part of an answer, or None after `limit_s` seconds without one."""
+    """Return the next part of an answer, or None after `limit_s` seconds without one.
+
+    Without time left, only the parts of an answer that arrived completely are returned.
+    """
+    if limit_s <= 0 and not exchange.ended:
+        return None
     try:
         async with asyncio.timeout(max(0.0, limit_s)):
             return await exchange.get()
--- a/src/lovageway/forwarding/connections.py
+++ b/src/lovageway/forwarding/connections.py
@@ -281,9 +281,15 @@
         if self._transport is not None:
             self._transport.abort()
 
-    async def wait_until_writable(self) -> None:
-        """Wait until the write buffer is below its limit."""
-        await self._writable.wait()
+    async def wait_until_writable(self, limit_s: float | None = None) -> bool:
+        """Wait until the write buffer is below its limit; return False after `limit_s` seconds."""
+        if self._writable.is_set():
+            return True
+        try:
+            async with asyncio.timeout(limit_s):
+                return await self._writable.wait()
+        except TimeoutError:
+            return False
 
     def finish(self) -> None:
         """Continue with the next request after a complete answer."""
--- a/src/lovageway/forwarding/forwarder.py
+++ b/src/lovageway/forwarding/forwarder.py
@@ -10,7 +10,7 @@
 from lovageway.forwarding.connections import ClientConnection, Inbound
 from lovageway.forwarding.model import Repeat
 from lovageway.forwarding.replicas import Entry
-from lovageway.forwarding.request import ANSWER_MARGIN_S, Refusal, Request, admit, place
+from lovageway.forwarding.request import Refusal, Request, admit, place
 from lovageway.forwarding.state import State
 from lovageway.forwarding.streams import StreamRun
 from lovageway.platform import heads
@@ -126,14 +126,14 @@
 
     def _attempt_timeout_s(self, request: Request, entry: Entry) -> float:
         """Return how long to wait for an answer before trying another server, in seconds."""
-        left = request.left_s() - ANSWER_MARGIN_S
+        left = request.answer_time_s()
         if not request.idempotent or request.possible_runs + 1 >= request.route.max_attempts:
             return left
         return min(left, max(MIN_ANSWER_TIMEOUT_S, ANSWER_TIMEOUT_FACTOR * entry.latency_s))
 
     def reserve_retry(self, request: Request, outcome: Outcome) -> bool:
         """Return whether a request may be sent again, charging the retry budget if it was sent."""
-        if request.left_s() <= 2 * ANSWER_MARGIN_S:
+        if not request.has_time():
             return False
         if outcome is Outcome.NOT_SENT:
             return True
@@ -155,7 +155,7 @@
             self.answer(last)
         elif refusal is not None and refusal.code is Code.SERVER_CRASHED:
             self.refuse(refusal)
-        elif request.left_s() <= 2 * ANSWER_MARGIN_S:
+        elif not request.has_time():
             self.refuse(Refusal(Code.TIMED_OUT))
         else:
             self.refuse(Refusal(Code.OUTCOME_UNKNOWN_NOW))
--- a/src/lovageway/forwarding/outbound.py
+++ b/src/lovageway/forwarding/outbound.py
@@ -261,7 +261,11 @@
         self.opened = 0
 
     async def acquire(
-        self, key: str, address: Address, attempt_id: str | None = None
+        self,
+        key: str,
+        address: Address,
+        attempt_id: str | None = None,
+        limit_s: float = CONNECT_TIMEOUT_S,
     ) -> ServerConnection:
         """Return an idle connection or open one.
 
@@ -273,6 +277,8 @@
         attempt_id
             Id of the request. A connection on which it was sent is not reused: a duplicate of the
             earlier answer could not be distinguished from the new answer.
+        limit_s
+            Time to open a connection, in seconds; at most CONNECT_TIMEOUT_S is used.
 
         Raises
         ------
@@ -289,7 +295,7 @@
             conn.close()
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with asyncio.timeout(max(0.0, min(limit_s, CONNECT_TIMEOUT_S))):
                 _, conn = await loop.create_connection(
                     lambda: ServerConnection(self._decode, self._clock), address.host, address.port
                 )
--- a/src/lovageway/forwarding/request.py
+++ b/src/lovageway/forwarding/request.py
@@ -121,6 +121,14 @@
         """Return the time until the deadline, in seconds."""
         return self.deadline_at - self.state.clock()
 
+    def answer_time_s(self) -> float:
+        """Return the time in which a server's answer can still be passed on, in seconds."""
+        return self.left_s() - ANSWER_MARGIN_S
+
+    def has_time(self) -> bool:
+        """Return whether a server could still answer the request, if it were sent again now."""
+        return self.answer_time_s() > ANSWER_MARGIN_S
+
     def work(self) -> Work:
         """Return the properties of the request that placement uses."""
         cfg = self.state.cfg
@@ -263,7 +271,7 @@
     target_at = request.inbound.arrived_at + request.route.target_s
     rank = Rank(request.priority, request.inbound.arrived_at, target_at)
     share = STREAM_WAIT_SHARE if request.service.engine is not None else CALL_WAIT_SHARE
-    limit = max(0.0, min(share * request.left_s(), request.left_s() - ANSWER_MARGIN_S))
+    limit = max(0.0, min(share * request.left_s(), request.answer_time_s()))
     kind = Kind(request.service.name, request.regions, frozenset(request.tried))
     limited = hold_off(request, rank, limit)
     if limited is not None:
--- a/src/lovageway/forwarding/streams.py
+++ b/src/lovageway/forwarding/streams.py
@@ -27,7 +27,7 @@
 from lovageway.forwarding.model import AnswerHead
 from lovageway.forwarding.placement import expected_output
 from lovageway.forwarding.replicas import Entry
-from lovageway.forwarding.request import ANSWER_MARGIN_S, Refusal, Request, hold_back, place
+from lovageway.forwarding.request import Refusal, Request, hold_back, place
 from lovageway.forwarding.streamtiming import StreamTiming
 from lovageway.forwarding.traits import MAX_LABEL
 
@@ -119,7 +119,7 @@
             request.outcomes.append(last.outcome.value)
             if last.outcome is Outcome.ANSWERED:
                 return
-            handover = await self._migration_handover() or self._checkpoint_handover(last.outcome)
+            handover = await self._next_handover(last.outcome)
             if handover is not None:
                 continue
             if last.outcome in (Outcome.FAILED, Outcome.BROKEN, Outcome.SILENT):
@@ -131,6 +131,20 @@
                 self._end_failed(last, None)
                 return
 
+    async def _next_handover(self, outcome: Outcome) -> CopiedGeneration | None:
+        """Return the copy from which the generation continues, or None if it can't or has no time.
+
+        A copy that comes too late is freed.
+        """
+        if not self.request.has_time():
+            return None
+        handover = await self._migration_handover() or self._checkpoint_handover(outcome)
+        if handover is None or self.request.has_time():
+            return handover
+        if handover.counted:
+            self.state.spawn(Migrator(self.request, self).free(handover))
+        return None
+
     async def _migration_handover(self) -> CopiedGeneration | None:
         """Return the copy to continue from if a migration ended the engine's stream, else None.
 
@@ -144,11 +158,15 @@
             return None
         by, self._handover_by = self._handover_by, None
         try:
-            async with asyncio.timeout_at(by or self.state.clock() + HANDOVER_WAIT_S):
+            async with asyncio.timeout_at(by or self._handover_limit()):
                 return await task
         except TimeoutError:
             return None
 
+    def _handover_limit(self) -> float:
+        """Return until when to wait for the result of a migration."""
+        return self.state.clock() + min(HANDOVER_WAIT_S, self.request.answer_time_s())
+
     async def _attempt(self, entry: Entry, handover: CopiedGeneration | None) -> AttemptResult:
         """Send the request to one engine, which continues from `handover` if it is given."""
         request, state = self.request, self.state
@@ -261,7 +279,9 @@
         while True:
             part = await next_part(exchange, until - state.clock())
             if part is None:
-                entry.on_failure(state.clock())
+                # An engine whose events came until the time was used up did not fail.
+                if not self.begun or self.request.has_time():
+                    entry.on_failure(state.clock())
                 return AttemptResult(Outcome.SILENT, head, b"")
             if part.head is not None:
                 head = part.head
@@ -292,7 +312,9 @@
                 return self._classify(entry, head, b"", splitter, False, False)
             for event in events:
                 self._pass_event(head, event.data, event.id)
-            await self.conn.wait_until_writable()
+            limit = None if exchange.ended else self.request.answer_time_s()
+            if not await self.conn.wait_until_writable(limit):
+                return AttemptResult(Outcome.SILENT, head, b"")
             if events:
                 until = state.clock() + self._stall_timeout_s()
 
@@ -334,13 +356,13 @@
         """Return whether the server answers the request to stop that the run had already ended."""
         task, migrator = self.task, self.migrator
         assert task is not None and migrator is not None
-        self._handover_by = self.state.clock() + HANDOVER_WAIT_S
-        await asyncio.wait({task}, timeout=HANDOVER_WAIT_S)
+        self._handover_by = self._handover_limit()
+        await asyncio.wait({task}, timeout=max(0.0, self._handover_by - self.state.clock()))
         return task.done() and migrator.ended_before_stop
 
     def _stall_timeout_s(self) -> float:
         """Return the time to wait for the next event; the first one may take until the deadline."""
-        left = self.request.left_s() - ANSWER_MARGIN_S
+        left = self.request.answer_time_s()
         if not self.started:
             return left
         route = self.request.route
@@ -438,7 +460,7 @@
             self.client.answer(last)
         elif refusal is not None and refusal.code is Code.SERVER_CRASHED:
             self.client.refuse(refusal)
-        elif request.left_s() <= 2 * ANSWER_MARGIN_S:
+        elif not request.has_time():
             self.client.refuse(Refusal(Code.TIMED_OUT))
         else:
             self.client.refuse(Refusal(Code.GENERATION_LOST))
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -219,6 +219,85 @@
         self.assertEqual(ids(reply.body), [1, 2])
 
 
+class TimeUsedUp(RelayCase):
+    """Guards against streams that are still open, or sent again, when their time is used up."""
+
+    TIMEOUT_S = 1.0
+    BRIEF = {**STREAM, "timeout_ms": 1000}
+
+    async def timed_ask(self, **fields):
+        """Return the reply to a long generation, and how long it took in seconds."""
+        began = asyncio.get_running_loop().time()
+        reply = await self.ask(method="POST", body=b"p", **LONG, **fields)
+        return reply, asyncio.get_running_loop().time() - began
+
+    async def assert_ends_once(self, route_fields, **fields):
+        engines = [Engine(f"i-{n}", events=2000, event_interval_s=0.01) for n in (1, 2)]
+        await self.serve(*engines, routes=[route_fields])
+        reply, seconds = await self.timed_ask(**fields)
+        self.assertFalse(reply.complete)
+        self.assertLess(seconds, self.TIMEOUT_S + 0.5)
+        self.assertGreater(seconds, self.TIMEOUT_S - 0.2)
+        await asyncio.sleep(0.1)
+        self.assertEqual(sum(len(engine.requests) for engine in engines), 1)
+        self.assertEqual([engine.disconnects for engine in engines], [[], []])
+        failures = [e.failures(0.0) for e in self.relays[0].state.replicas.all()]
+        self.assertEqual(failures, [0.0, 0.0])
+
+    async def test_a_stream_with_a_checkpoint_ends_at_the_time_out_of_its_route(self):
+        # Guards against an endless loop of sends to the engines that keep a checkpoint.
+        await self.assert_ends_once(self.BRIEF)
+
+    async def test_a_stream_with_a_checkpoint_ends_at_the_deadline_of_its_client(self):
+        # Guards against the same loop in the last moments before a client's deadline.
+        await self.assert_ends_once(STREAM, Deadline_Ms="1000")
+
+    async def test_a_resumable_stream_is_not_sent_again_when_its_time_is_used_up(self):
+        # Guards against a second run that has no time left.
+        await self.assert_ends_once({**RESUMABLE, "timeout_ms": 1000})
+
+    async def test_a_stream_whose_events_are_always_ready_ends_at_its_time_out(self):
+        # Guards against a time-out that only a pause of the engine lets expire.
+        engine = Engine(events=10**6)
+        await self.serve(engine, routes=[self.BRIEF], services=NO_COPIES)
+        reply, seconds = await self.timed_ask()
+        self.assertFalse(reply.complete)
+        self.assertLess(seconds, self.TIMEOUT_S + 0.5)
+
+    async def test_a_stream_to_a_client_that_does_not_read_ends_at_its_time_out(self):
+        # Guards against a stream that stays open, and its engine at work, while its client's
+        # buffers are full.
+        engine = Engine(events=10**6)
+        engine.event = lambda attempt, number: b"id: %d\ndata: %b\n\n" % (number, b"x" * 20000)
+        await self.serve(engine, routes=[self.BRIEF], services=NO_COPIES)
+        client = await self.client()
+        client.writer.transport.pause_reading()
+        await client.send(method="POST", body=b"p", **LONG)
+        state = self.relays[0].state
+        await self.until(lambda: state.streams)
+        began = state.clock()
+        await self.until(lambda: not state.streams)
+        self.assertLess(state.clock() - began, self.TIMEOUT_S + 0.5)
+
+    async def test_a_migration_that_ends_after_the_time_out_is_not_used(self):
+        # Guards against a generation that goes on elsewhere after its time is used up, and against
+        # a copy that then occupies memory.
+        engine = Engine("i-1", events=2000, event_interval_s=0.01)
+        other = Engine("i-2", events=2000, event_interval_s=0.01)
+        await self.serve(engine, routes=[self.BRIEF], services=NO_COPIES)
+        client = await self.client()
+        await client.send(method="POST", body=b"p", **LONG)
+        await self.until(lambda: engine.generated_events.get("id-1", 0) > 3)
+        engine.migration_s = 0.7
+        await self.start_server(other)
+        began = asyncio.get_running_loop().time()
+        self.store.put("servers", "i-1", engine.entry(state="draining"))
+        reply = await client.reply()
+        self.assertFalse(reply.complete)
+        self.assertLess(asyncio.get_running_loop().time() - began, self.TIMEOUT_S + 0.5)
+        self.assertEqual(other.requests, [])
+
+
 class _DiscardingDict(dict):
     def __setitem__(self, key, value):
         pass
