Let connections with much input take turns, so that none holds the event loop

The limits count bytes of the body only.

Why this works: input is parsed in slices, a connection gives way after 2 ms, and one turn is given for each pass of the event loop, so other work waits for one turn at most, however many connections have input. The same holds for clients, the store and events of one buffer.

--- a/src/lovageway/forwarding/connections.py
+++ b/src/lovageway/forwarding/connections.py
@@ -7,6 +7,7 @@
 
 import httptools
 
+from lovageway.forwarding.inputturns import InputTurns, SlicedInput
 from lovageway.forwarding.model import RequestLimits
 
 MAX_QUEUED_REQUESTS = 8  # pipelined requests after which reading pauses
@@ -81,15 +82,15 @@
 class ClientConnection(asyncio.Protocol):
     """Connection of a client; its requests are served one after another."""
 
-    def __init__(self, handler: Handler, clock: Callable[[], float]) -> None:
+    def __init__(self, handler: Handler, clock: Callable[[], float], turns: InputTurns) -> None:
         self._handler = handler
         self._clock = clock
+        self._input = SlicedInput(turns, self._feed, self._set_reading)
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
-        self._body_size = 0
+        self._body = bytearray()
         self._reserved_bytes = 0  # of the bodies on this connection
         self._head_size = 0
         self._trailer_size = 0
@@ -121,9 +122,12 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse input and start the next request if none is being served."""
-        if self._discarding:
-            return
-        self.last_active_at = self._clock()
+        if not self._discarding:
+            self.last_active_at = self._clock()
+            self._input.receive(data)
+
+    def _feed(self, data: bytes) -> bool:
+        """Parse a slice of the input; return False once the connection's input is discarded."""
         limits = self._handler.limits()
         if not self._head_done:
             self._head_size += len(data)
@@ -137,9 +141,10 @@
         else:
             if self._in_message and not self._head_done and self._head_size > limits.header_bytes:
                 self._reject(431, "the head exceeds the limit")
-            elif self._head_done and self._unparsed_bytes > limits.header_bytes:
-                self._reject(400, "a chunk's extension or a trailer exceeds the limit")
+            elif self._unparsed_bytes > limits.header_bytes:
+                self._reject(400, "input outside a head or a body exceeds the limit")
         self._serve_next()
+        return not self._discarding
 
     def eof_received(self) -> bool:
         """Close the connection when the client closes its side."""
@@ -148,6 +153,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request that is being served and release the memory of the bodies."""
         self.closed = True
+        self._input.discard()
         self._writable.set()
         self._queue.clear()
         self._release_bodies()
@@ -170,8 +176,7 @@
         self._in_message = True
         self._head_done = False
         self._message_started_at = self._clock()
-        self._url, self._headers, self._body = b"", [], []
-        self._body_size = 0
+        self._url, self._headers, self._body = b"", [], bytearray()
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
@@ -215,9 +220,8 @@
             self._reject(503, "no memory for another body; come back", retry)
             return
         self._reserved_bytes += len(body)
-        self._body.append(body)
-        self._body_size += len(body)
-        if self._body_size > self._handler.limits().body_bytes:
+        self._body += body
+        if len(self._body) > self._handler.limits().body_bytes:
             self._reject(413, "the body exceeds the limit")
 
     def on_message_complete(self) -> None:
@@ -232,21 +236,29 @@
                 method=self._parser.get_method().decode("latin-1"),
                 target=self._url.decode("latin-1"),
                 headers=[(n.decode("latin-1"), v.decode("latin-1")) for n, v in self._headers],
-                body=b"".join(self._body),
+                body=bytes(self._body),
                 http_1_1=version == "1.1",
                 keep_alive=self._parser.should_keep_alive(),
                 arrived_at=self._message_started_at,
             )
         )
-        self._headers, self._body = [], []
-        if len(self._queue) >= MAX_QUEUED_REQUESTS and self._transport is not None:
+        self._headers, self._body = [], bytearray()
+        if len(self._queue) >= MAX_QUEUED_REQUESTS:
+            self._input.hold(True)
+
+    def _set_reading(self, reading: bool) -> None:
+        """Pause or resume reading from the transport."""
+        if self._transport is None or self.closed or self._transport.is_closing():
+            return
+        if reading:
+            self._transport.resume_reading()
+        else:
             self._transport.pause_reading()
 
     def _serve_next(self) -> None:
         if self.current is None and self._queue and not self.closed and not self._close_after:
             self.current = self._queue.popleft()
-            if self._transport is not None:
-                self._transport.resume_reading()
+            self._input.hold(False)
             self._handler.handle(self, self.current)
 
     # Answers.
@@ -327,6 +339,7 @@
         if self._discarding:
             return
         self._discarding = True
+        self._input.discard()
         self._handler.on_rejected(status, reason)
         self._queue.clear()
         if self.current is not None:
@@ -344,9 +357,11 @@
         Closing with unread input resets the connection, and the client may lose the answer.
         """
         self._discarding = True
+        has_pending_input = self._input.pending > 0
+        self._input.discard()
         if self._transport is None or self.closed:
             return
-        if not self._in_message and not self._queue:
+        if not has_pending_input and not self._in_message and not self._queue:
             self._transport.close()
             return
         if self._transport.can_write_eof():
@@ -367,7 +382,7 @@
             return
         elif self._in_message:
             quiet = now - (self.last_active_at if self._head_done else self._message_started_at)
-            slow = now - self._message_started_at - self._body_size / MIN_BODY_BYTES_PER_S
+            slow = now - self._message_started_at - len(self._body) / MIN_BODY_BYTES_PER_S
             if max(quiet, slow) > limits.header_timeout_s:
                 self._reject(408, "the request did not arrive in time")
         elif close_idle or now - self.last_active_at > limits.idle_timeout_s:
--- a/src/lovageway/forwarding/exchange.py
+++ b/src/lovageway/forwarding/exchange.py
@@ -1,7 +1,6 @@
 """Queue of answer parts between the connection that reads an answer and its consumer."""
 
 import asyncio
-from collections import deque
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -51,7 +50,9 @@
         self.ended_by_close = False  # whether only the end of the connection ended the answer
         self.on_reading_paused: Callable[[bool], None] = lambda paused: None
         self._received_bytes = 0
-        self._parts: deque[Part] = deque()
+        self._head: Part | None = None
+        self._data: list[bytes] = []  # taken together, however many chunks they came in
+        self._end: Part | None = None
         self._buffered_bytes = 0
         self._paused = False
         self._waiter: asyncio.Future[None] | None = None
@@ -81,7 +82,12 @@
         self.check_size(len(part.data))
         self._received_bytes += len(part.data)
         self.ended = part.end
-        self._parts.append(part)
+        if part.end:
+            self._end = part
+        elif part.head is not None:
+            self._head = part
+        else:
+            self._data.append(part.data)
         self._buffered_bytes += len(part.data)
         self._set_paused(self._buffered_bytes > MAX_BUFFERED_BYTES)
         if self._waiter is not None and not self._waiter.done():
@@ -89,14 +95,23 @@
 
     async def get(self) -> Part:
         """Return the next part, waiting for it if necessary."""
-        while not self._parts:
+        while (part := self._take()) is None:
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
-        part = self._parts.popleft()
         self._buffered_bytes -= len(part.data)
         self._set_paused(self._buffered_bytes > MAX_BUFFERED_BYTES)
         return part
 
+    def _take(self) -> Part | None:
+        if self._head is not None:
+            head, self._head = self._head, None
+            return head
+        if self._data:
+            data, self._data = b"".join(self._data), []
+            return Part(None, data, False, False)
+        end, self._end = self._end, None
+        return end
+
     def _set_paused(self, paused: bool) -> None:
         if paused != self._paused:
             self._paused = paused
--- a/src/lovageway/forwarding/outbound.py
+++ b/src/lovageway/forwarding/outbound.py
@@ -13,6 +13,7 @@
 import httptools
 
 from lovageway.forwarding.exchange import BadAnswerError, Exchange, Part
+from lovageway.forwarding.inputturns import InputTurns, SlicedInput
 from lovageway.forwarding.model import Address, AnswerHead
 
 # Calls have about one second, and TCP sends a lost SYN packet again only after one second.
@@ -22,7 +23,7 @@
 KEEPALIVE_PROBES = 3
 DEFAULT_MAX_IDLE_S = 4.0  # idle time up to which a connection is reused by default
 KEEP_ALIVE_SHARE = 0.7  # share of the server's Keep-Alive timeout for which it is reused
-MAX_HEAD_BYTES = 32 * 1024  # of a head, of trailers or of other data between parts of a body
+MAX_HEAD_BYTES = 32 * 1024  # of a head, of trailers or of other data around parts of a body
 MAX_HEADERS = 200
 MAX_INTERIM_ANSWERS = 8  # answers with status 1xx before the final answer
 MAX_ATTEMPT_IDS = 64  # remembered for each connection
@@ -34,9 +35,10 @@
 class ServerConnection(asyncio.Protocol):
     """Connection to a server that carries one request at a time."""
 
-    def __init__(self, decode: HeadDecoder, clock: Callable[[], float]) -> None:
+    def __init__(self, decode: HeadDecoder, clock: Callable[[], float], turns: InputTurns) -> None:
         self._decode = decode
         self._clock = clock
+        self._input = SlicedInput(turns, self._feed, self._set_reading)
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._exchange: Exchange | None = None
@@ -70,13 +72,17 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse a part of an answer; data without a pending request closes the connection."""
+        self._input.receive(data)
+
+    def _feed(self, data: bytes) -> bool:
+        """Parse a slice of the input; return False once the connection is closed."""
         if self._exchange is None:
             self.close()
-            return
+            return False
         self._unparsed_bytes += len(data)
         try:
             self._parser.feed_data(data)
-            if self._in_answer and self._unparsed_bytes > MAX_HEAD_BYTES:
+            if self._unparsed_bytes > MAX_HEAD_BYTES:
                 raise BadAnswerError("head")
         except BadAnswerError as exc:
             self._fail(str(exc))
@@ -85,10 +91,12 @@
             self._fail(str(cause) if isinstance(cause, BadAnswerError) else repr(cause))
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail()
+        return not self._closed_here
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the answer; one without a length is complete if the server closed cleanly."""
         self.closed, self.reusable = True, False
+        self._input.discard()
         complete = (
             self._body_ends_at_eof and exc is None and not self._skipping and not self._closed_here
         )
@@ -197,7 +205,7 @@
         if exchange.attempt_id is not None:
             self.attempt_ids.append(exchange.attempt_id)
         self._interim_answers = self._skipped_bytes = 0
-        exchange.on_reading_paused = self._set_reading_paused
+        exchange.on_reading_paused = self._input.hold
         self._transport.write(data)
 
     def close(self) -> None:
@@ -210,20 +218,21 @@
     @property
     def is_idle(self) -> bool:
         """Return whether the connection can be reused: no part of an answer is pending on it."""
-        return self.reusable and not self.closed and not self._in_answer
+        in_use = self._in_answer or self._input.pending > 0
+        return self.reusable and not self.closed and not in_use
 
     def idle_s(self, now: float) -> float:
         """Return how long the connection has been idle, in seconds."""
         return now - self.idle_since
 
-    def _set_reading_paused(self, paused: bool) -> None:
+    def _set_reading(self, reading: bool) -> None:
         """Pause or resume reading from the transport."""
         if self._transport is None or self.closed or self._transport.is_closing():
             return
-        if paused:
-            self._transport.pause_reading()
-        else:
+        if reading:
             self._transport.resume_reading()
+        else:
+            self._transport.pause_reading()
 
     def _fail(self, fault: str = "not in the protocol") -> None:
         if self._exchange is not None:
@@ -239,7 +248,7 @@
             self.reusable = False  # the answer arrived before the request was sent completely
         if exchange is not None:
             exchange.on_reading_paused = lambda paused: None
-            self._set_reading_paused(False)
+            self._input.hold(False)
             exchange.put(Part(None, b"", True, complete))
 
 
@@ -254,9 +263,10 @@
 class Pool:
     """Pool of idle connections, by server."""
 
-    def __init__(self, decode: HeadDecoder, clock: Callable[[], float]) -> None:
+    def __init__(self, decode: HeadDecoder, clock: Callable[[], float], turns: InputTurns) -> None:
         self._decode = decode
         self._clock = clock
+        self._turns = turns
         self._idle: dict[str, list[ServerConnection]] = {}
         self.opened = 0
 
@@ -297,7 +307,9 @@
         try:
             async with asyncio.timeout(max(0.0, min(limit_s, CONNECT_TIMEOUT_S))):
                 _, conn = await loop.create_connection(
-                    lambda: ServerConnection(self._decode, self._clock), address.host, address.port
+                    lambda: ServerConnection(self._decode, self._clock, self._turns),
+                    address.host,
+                    address.port,
                 )
         except TimeoutError as exc:
             raise OSError(f"{address} did not accept a connection in time") from exc
--- a/src/lovageway/forwarding/peers.py
+++ b/src/lovageway/forwarding/peers.py
@@ -50,7 +50,7 @@
 
     def __init__(self, state: State, rng: Random) -> None:
         self._state = state
-        self._client = StoreClient(state.cfg.store.address, heads.answer, state.clock)
+        self._client = StoreClient(state.cfg.store.address, heads.answer, state.clock, state.turns)
         self._row_handler = RowHandler(state, self.send_heartbeats, self._send_leaving_runs)
         self._watches = {
             table: TableWatch(
--- a/src/lovageway/forwarding/relay.py
+++ b/src/lovageway/forwarding/relay.py
@@ -14,6 +14,7 @@
 from lovageway.forwarding.connections import ClientConnection
 from lovageway.forwarding.eventlog import EventLog
 from lovageway.forwarding.listeners import Frontend, Listener, LocalListener
+from lovageway.forwarding.loopwatch import LoopWatch
 from lovageway.forwarding.members import READY
 from lovageway.forwarding.model import DaemonSettings
 from lovageway.forwarding.peers import Peers
@@ -44,6 +45,7 @@
         self._servers: list[asyncio.Server] = []
         self._frontend_server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
+        self._loop_watch = LoopWatch(self._loop, self.state.telemetry, log)
         self.stopped = asyncio.Event()
         self._last_tick_at = self._loop.time()
         self._ticks = 0
@@ -69,10 +71,12 @@
         await self._peers.start()
         self.log("start", pid=os.getpid(), listen=str(cfg.listen), seeds=list(cfg.seeds))
         self._spawn(self._tick_forever())
+        self._loop_watch.start()
 
     async def close(self) -> None:
         """Close everything at once, as the end of the process would."""
         self._peers.close()
+        self._loop_watch.stop()
         for task in [*self._tasks, *self._frontend.tasks.values()]:
             task.cancel()
         for server in (*self._servers, self._frontend_server):
@@ -92,9 +96,8 @@
 
     async def _listen(self) -> None:
         cfg = self.cfg
-        clock = self._loop.time
         self._frontend_server = await self._loop.create_server(
-            lambda: ClientConnection(self._frontend, clock), cfg.listen.host, cfg.listen.port
+            lambda: self._connection(self._frontend), cfg.listen.host, cfg.listen.port
         )
         answers = [
             (LocalListener(self.state, "ready", self._answer_ready), cfg.ready_listen),
@@ -107,11 +110,12 @@
 
     async def _open_local_listener(self, listener: LocalListener, host: str, port: int) -> None:
         self._listeners.append(listener)
-        server = await self._loop.create_server(
-            lambda: ClientConnection(listener, self._loop.time), host, port
-        )
+        server = await self._loop.create_server(lambda: self._connection(listener), host, port)
         self._servers.append(server)
 
+    def _connection(self, listener: Listener) -> ClientConnection:
+        return ClientConnection(listener, self._loop.time, self.state.turns)
+
     def _spawn(self, coro: Coroutine[Any, Any, None]) -> None:
         task = self._loop.create_task(coro)
         self._tasks.add(task)
--- a/src/lovageway/forwarding/state.py
+++ b/src/lovageway/forwarding/state.py
@@ -9,6 +9,7 @@
 from lovageway.forwarding import fleetshare, memorybudget, placement, statements
 from lovageway.forwarding.admissionqueue import AdmissionQueue
 from lovageway.forwarding.eventlog import EventLog
+from lovageway.forwarding.inputturns import InputTurns
 from lovageway.forwarding.lifecycle import Lifecycle
 from lovageway.forwarding.load import Load, LoadTracker
 from lovageway.forwarding.members import STARTING, MemberFacts, Members
@@ -81,7 +82,8 @@
         self.answer_budget = MemoryBudget(
             memorybudget.budget_bytes(cfg.memory_mb, memorybudget.ANSWER_SHARE)
         )
-        self.pool = Pool(heads.answer, clock)
+        self.turns = InputTurns(clock)
+        self.pool = Pool(heads.answer, clock, self.turns)
         self.routes: RouteTable | None = None
         self._config_era = 0  # of the row that holds the configuration
         self.configured = asyncio.Event()
--- a/src/lovageway/forwarding/storewatch.py
+++ b/src/lovageway/forwarding/storewatch.py
@@ -11,6 +11,7 @@
 
 from lovageway.forwarding.eventlog import EventLog
 from lovageway.forwarding.exchange import Exchange
+from lovageway.forwarding.inputturns import InputTurns
 from lovageway.forwarding.mirror import FIRST, Mirror
 from lovageway.forwarding.model import Address, AnswerHead, Page, Revision, Row
 from lovageway.forwarding.outbound import Pool
@@ -41,9 +42,10 @@
         address: Address,
         decode: Callable[[int, str, list[tuple[str, str]]], AnswerHead],
         clock: Callable[[], float],
+        turns: InputTurns,
     ) -> None:
         self._address = address
-        self._pool = Pool(decode, clock)
+        self._pool = Pool(decode, clock, turns)
         self.calls = 0
 
     async def read(self, table: str) -> Page:
@@ -83,7 +85,7 @@
                 conn = await self._pool.acquire("store", self._address)
                 exchange = Exchange(None)
                 conn.begin(exchange, request)
-                status, body = 0, b""
+                status, body = 0, bytearray()
                 try:
                     while not (part := await exchange.get()).end:
                         if part.head is not None:
@@ -97,7 +99,7 @@
             raise StoreError(0, repr(exc)) from exc
         if not part.complete or status != 200:
             raise StoreError(status, "incomplete answer" if not part.complete else "refused")
-        return body, era
+        return bytes(body), era
 
 
 class TableWatch:
--- a/src/lovageway/forwarding/streams.py
+++ b/src/lovageway/forwarding/streams.py
@@ -22,6 +22,7 @@
 from lovageway.forwarding.connections import ClientConnection, Inbound
 from lovageway.forwarding.events import EventSplitter, EventTooLargeError
 from lovageway.forwarding.exchange import MAX_ANSWER_BYTES, Exchange
+from lovageway.forwarding.inputturns import SLICE_BYTES
 from lovageway.forwarding.load import Load
 from lovageway.forwarding.migrator import CopiedGeneration, Migrator
 from lovageway.forwarding.model import AnswerHead
@@ -306,18 +307,34 @@
                 continue
             self._on_prompt_processed(entry)
             try:
-                events = splitter.feed(part.data)
+                has_events = await self._pass_events(head, splitter, part.data)
             except EventTooLargeError:
                 exchange.fault = "event"
                 return self._classify(entry, head, b"", splitter, False, False)
-            for event in events:
-                self._pass_event(head, event.data, event.id)
             limit = None if exchange.ended else self.request.answer_time_s()
             if not await self.conn.wait_until_writable(limit):
                 return AttemptResult(Outcome.SILENT, head, b"")
-            if events:
+            if has_events:
                 until = state.clock() + self._stall_timeout_s()
 
+    async def _pass_events(self, head: AnswerHead, splitter: EventSplitter, data: bytes) -> bool:
+        """Pass on the events that are complete with these bytes; return whether there are any.
+
+        Raises
+        ------
+        EventTooLargeError
+            See `EventSplitter.feed`.
+        """
+        turn, has_events = self.state.turns.begin(), False
+        for start in range(0, len(data), SLICE_BYTES):
+            piece = data[start : start + SLICE_BYTES]
+            for event in splitter.feed(piece):
+                self._pass_event(head, event.data, event.id)
+                has_events = True
+            if turn.is_over(len(piece)) and start + SLICE_BYTES < len(data):
+                turn = await self.state.turns.next()
+        return has_events
+
     def _end_facts(
         self, arrived_whole: bool, splitter: EventSplitter, exchange: Exchange
     ) -> streamend.EndFacts:
--- a/src/lovageway/forwarding/telemetry.py
+++ b/src/lovageway/forwarding/telemetry.py
@@ -64,6 +64,11 @@
         ("kind",),
         (0.0, 0.02, 0.1, 0.3, 1.0, 3.0, 10.0),
     ),
+    "loop_delay_seconds": (
+        "Time for which the event loop stood still when the daemon wanted to work.",
+        (),
+        (0.01, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0),
+    ),
     "move_seconds": (
         "Time for which a stream paused while it was carried over.",
         (),
--- a/src/lovageway/suspectcommands.py
+++ b/src/lovageway/suspectcommands.py
@@ -9,6 +9,7 @@
 import typer
 
 from lovageway import dump
+from lovageway.forwarding.inputturns import InputTurns
 from lovageway.forwarding.model import Address
 from lovageway.forwarding.poisonspread import SUSPECTS_TABLE
 from lovageway.forwarding.storewatch import StoreClient, StoreError
@@ -67,7 +68,7 @@
 
 async def _remove_row(address: Address, mark: str) -> bool:
     """Remove the row of a suspect; return False if there is none."""
-    client = StoreClient(address, heads.answer, time.monotonic)
+    client = StoreClient(address, heads.answer, time.monotonic, InputTurns(time.monotonic))
     page = await client.read(SUSPECTS_TABLE)
     if not any(row.key == mark for row in page.rows):
         return False
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -4,6 +4,7 @@
 import unittest
 
 from lovageway.forwarding.connections import IDLE_CLOSE_DELAY_S, ClientConnection
+from lovageway.forwarding.inputturns import InputTurns
 from lovageway.forwarding.model import RequestLimits
 
 LIMITS = RequestLimits(1000, 1000, 1.0, 10.0)
@@ -27,6 +28,9 @@
     def can_write_eof(self):
         return False
 
+    def is_closing(self):
+        return self.ended is not None
+
     def set_write_buffer_limits(self, high=None, low=None):
         pass
 
@@ -75,7 +79,7 @@
     def setUp(self):
         self.now = 0.0
         self.handler = Handler()
-        self.conn = ClientConnection(self.handler, lambda: self.now)
+        self.conn = ClientConnection(self.handler, lambda: self.now, InputTurns(lambda: self.now))
         self.transport = Transport()
 
     def connect(self):
@@ -190,3 +194,41 @@
             self.conn.check_timeouts(self.now, close_idle=False)
         self.assertIn(b" 408 ", self.transport.written)
         self.assertEqual(self.handler.room, 10_000)
+
+
+class MuchInput(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.now = 0.0
+        self.handler = Handler()
+        self.conn = ClientConnection(self.handler, self.clock, InputTurns(self.clock))
+        self.transport = Transport()
+        self.conn.connection_made(self.transport)
+
+    def clock(self):
+        self.now += 0.0005
+        return self.now
+
+    async def test_a_body_in_small_chunks_does_not_hold_the_event_loop(self):
+        # Guards against one client that stops a daemon with chunks of one byte.
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        self.conn.data_received(head + b"1\r\nx\r\n" * 900 + b"0\r\n\r\n")
+        self.assertEqual([request.body for request in self.handler.requests], [b"x" * 900])
+        self.conn.finish()
+        extension = b"1;" + b"e" * 900 + b"\r\nx\r\n"
+        self.conn.data_received(head + extension * 250)
+        passes = 0
+        while self.conn._input.pending:
+            passes += 1
+            await asyncio.sleep(0)
+        self.assertGreater(passes, 8)
+        self.conn.data_received(b"0\r\n\r\n")
+        await asyncio.sleep(0)
+        self.assertEqual(self.handler.requests[-1].body, b"x" * 250)
+
+    async def test_line_ends_outside_requests_are_limited(self):
+        # Guards against a client that keeps a connection, and the event loop, with line ends that
+        # belong to no request.
+        self.conn.data_received(b"\r\n" * 400)
+        self.assertEqual(self.transport.written, b"")
+        self.conn.data_received(b"\r\n" * 400)
+        self.assertIn(b"400 Bad Request", self.transport.written)
