Decide all further sends of a request in one place, and count each of them in the budget

Causes: continuations from checkpoints and migrations did not pass the budget; and a new process began with the complete part of the window that the one before it had used.

Why this works: `resend.decide` is the only way to a further send. It counts each arrival, keeps a quarter of an engine service's budget from retries for continuations, and bounds sends without progress. A process that finds its address in the table of daemons uses a tenth of the bound for one window.

--- a/bench/ablations.py
+++ b/bench/ablations.py
@@ -72,8 +72,8 @@
     "retries": Ablation(
         "second attempts after an attempt that may have run",
         "forwarder.py",
-        "return self.state.take_retry(request.service.name)",
-        "return outcome is Outcome.NOT_RUN and self.state.take_retry(request.service.name)",
+        "return request.may_resend(Kind.RETRY)",
+        "return outcome is Outcome.NOT_RUN and request.may_resend(Kind.RETRY)",
     ),
     "priorities": Ablation(
         "priorities of requests at engines",
--- a/src/lovageway/forwarding/forwarder.py
+++ b/src/lovageway/forwarding/forwarder.py
@@ -11,6 +11,7 @@
 from lovageway.forwarding.model import Repeat
 from lovageway.forwarding.replicas import Entry
 from lovageway.forwarding.request import Refusal, Request, admit, place
+from lovageway.forwarding.resend import Kind
 from lovageway.forwarding.state import State
 from lovageway.forwarding.streams import StreamRun
 from lovageway.platform import heads
@@ -132,18 +133,16 @@
         return min(left, max(MIN_ANSWER_TIMEOUT_S, ANSWER_TIMEOUT_FACTOR * entry.latency_s))
 
     def reserve_retry(self, request: Request, outcome: Outcome) -> bool:
-        """Return whether a request may be sent again, charging the retry budget if it was sent."""
-        if not request.has_time():
-            return False
+        """Return whether a request may run again, charging the retry budget if it was sent."""
         if outcome is Outcome.NOT_SENT:
-            return True
+            return request.may_resend(Kind.UNSENT)
         if outcome is Outcome.BROKEN and self.state.poison.is_implicated(request.traits):
             return False
         if outcome is not Outcome.NOT_RUN and (
             not request.idempotent or request.possible_runs >= request.route.max_attempts
         ):
             return False
-        return self.state.take_retry(request.service.name)
+        return request.may_resend(Kind.RETRY)
 
     def _end_call(
         self, request: Request, last: AttemptResult | None, refusal: Refusal | None
--- a/src/lovageway/forwarding/migrator.py
+++ b/src/lovageway/forwarding/migrator.py
@@ -9,6 +9,7 @@
 from lovageway.forwarding.model import Address, MigrationResult
 from lovageway.forwarding.replicas import Entry
 from lovageway.forwarding.request import Request
+from lovageway.forwarding.resend import Kind
 from lovageway.platform import engines
 
 CALL_TIMEOUT_S = 4.0  # for each part of an answer, and for all attempts to migrate together
@@ -73,8 +74,16 @@
         started_at = state.clock()
         try:
             await self._wait_for_turn(source, attempt_id)
+            if not self._request.may_resend(Kind.MIGRATION):
+                return None
             state.announce_migration_started(source.id, attempt_id)
-            return await self._migrate(source, started_at)
+            copied, taken_at = None, self._request.resends.last_at
+            try:
+                copied = await self._migrate(source, started_at)
+            finally:
+                if copied is None:
+                    state.budget(self._request.service.name).give_back(taken_at)
+            return copied
         finally:
             state.announce_migration_done(source.id, attempt_id)
 
--- a/src/lovageway/forwarding/peers.py
+++ b/src/lovageway/forwarding/peers.py
@@ -268,6 +268,8 @@
                 era = page.era or 0
                 if written_in != era and all(row.key != self._state.cfg.ip for row in page.rows):
                     await self._client.put(MEMBERS_TABLE, self._state.cfg.ip, b"")
+                    if written_in is None:
+                        self._state.on_first_start()
                 written_in = era
                 await self._poison_spread.read_store()
                 failing = False
--- a/src/lovageway/forwarding/request.py
+++ b/src/lovageway/forwarding/request.py
@@ -8,7 +8,7 @@
 from expression import Error, Ok, Result
 
 from lovageway.codes import Code
-from lovageway.forwarding import placement
+from lovageway.forwarding import placement, resend
 from lovageway.forwarding.admissionqueue import Need, Rank
 from lovageway.forwarding.connections import Inbound
 from lovageway.forwarding.memorybudget import MemoryReservation
@@ -79,6 +79,7 @@
         self.servers: list[str] = []
         self.outcomes: list[str] = []  # outcome of each attempt, in order
         self.event_timing: StreamTiming | None = None  # set for streams only
+        self.resends = resend.ResendLog()
         self.reserved = MemoryReservation(state.answer_budget)  # accounts for the buffered answer
         self.regions = _intersect_regions(
             route.regions, account.regions if account else frozenset()
@@ -129,6 +130,24 @@
         """Return whether a server could still answer the request, if it were sent again now."""
         return self.answer_time_s() > ANSWER_MARGIN_S
 
+    def may_resend(self, kind: resend.Kind) -> bool:
+        """Return whether the request may be sent to a server again, and count it if so."""
+        state, now = self.state, self.state.clock()
+        sharing = state.sharing(self.service)
+        verdict = resend.decide(kind, self.resends, sharing, now, has_time=self.has_time())
+        state.telemetry.add("forward_repeats", kind.value, verdict.value)
+        allowed = verdict is resend.Verdict.ALLOWED
+        state.log(
+            "sent_again" if allowed else "not_sent_again",
+            id=self.head.attempt_id,
+            kind=kind.value,
+            times=self.resends.total,
+            left_ms=round(self.left_s() * 1000),
+            budget_used=sharing.budget.used,
+            **({} if allowed else {"why": verdict.value}),
+        )
+        return allowed
+
     def work(self) -> Work:
         """Return the properties of the request that placement uses."""
         cfg = self.state.cfg
--- a/src/lovageway/forwarding/state.py
+++ b/src/lovageway/forwarding/state.py
@@ -6,7 +6,7 @@
 from random import Random
 from typing import Any, Protocol
 
-from lovageway.forwarding import fleetshare, memorybudget, placement, statements
+from lovageway.forwarding import fleetshare, memorybudget, placement, resend, statements
 from lovageway.forwarding.admissionqueue import AdmissionQueue
 from lovageway.forwarding.eventlog import EventLog
 from lovageway.forwarding.inputturns import InputTurns
@@ -88,6 +88,8 @@
         self._config_era = 0  # of the row that holds the configuration
         self.configured = asyncio.Event()
         self.streams: set[MigratableStream] = set()
+        # Until then an earlier process of this daemon may have used the budgets of the window.
+        self._restarted_until = clock() + cfg.bounds.retry_window_s
         self._retry_budgets: dict[str, RetryBudget] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -132,12 +134,19 @@
             )
         return found
 
-    def take_retry(self, service: str) -> bool:
-        """Return whether the retry budget of a service allows a retry, and count it if so."""
-        now = self.clock()
-        allowed = self.budget(service).take(self.members.count_sharers(now), now)
-        self.telemetry.add("forward_repeats", "yes" if allowed else "no")
-        return allowed
+    def on_first_start(self) -> None:
+        """Record that no earlier process of this daemon can have used the retry budgets."""
+        self._restarted_until = self.clock()
+
+    def sharing(self, service: Service) -> resend.Sharing:
+        """Return the retry budget of a service, and how it is shared now."""
+        now, engine = self.clock(), service.engine
+        return resend.Sharing(
+            self.budget(service.name),
+            self.members.count_sharers(now),
+            now < self._restarted_until,
+            engine is not None and (engine.supports_migration or engine.backups),
+        )
 
     def usable(self, service: Service, regions: frozenset[str]) -> list[Entry]:
         """Return the servers to which a request of a service may be sent now."""
--- a/src/lovageway/forwarding/streams.py
+++ b/src/lovageway/forwarding/streams.py
@@ -29,6 +29,7 @@
 from lovageway.forwarding.placement import expected_output
 from lovageway.forwarding.replicas import Entry
 from lovageway.forwarding.request import Refusal, Request, hold_back, place
+from lovageway.forwarding.resend import Kind
 from lovageway.forwarding.streamtiming import StreamTiming
 from lovageway.forwarding.traits import MAX_LABEL
 
@@ -125,10 +126,8 @@
                 continue
             if last.outcome in (Outcome.FAILED, Outcome.BROKEN, Outcome.SILENT):
                 request.possible_runs += 1
-            if not self.client.reserve_retry(request, last.outcome):
-                self._end_failed(last, None)
-                return
-            if self.started and not request.route.resumable:
+            can_run_again = not self.started or request.route.resumable
+            if not can_run_again or not self.client.reserve_retry(request, last.outcome):
                 self._end_failed(last, None)
                 return
 
@@ -264,6 +263,8 @@
             return None
         if not self.state.replicas.accepts_work(entry) or not self.state.is_within_limit(entry):
             return None
+        if not self.request.may_resend(Kind.CHECKPOINT):
+            return None
         self.state.replicas.on_send(entry, self.state.clock())
         self.state.log("resume_from_copy", id=self.request.head.attempt_id, server=entry.id)
         attempt_id = self.request.head.attempt_id
@@ -399,6 +400,7 @@
             self.client.status = head.status
             self.conn.start(head.status, list(head.headers), head.reason)
         self.event_timing.on_event(now)
+        self.request.resends.on_progress()
         if event_id is not None:
             self.last_id = event_id
         self.conn.send(data)
--- a/src/lovageway/forwarding/telemetry.py
+++ b/src/lovageway/forwarding/telemetry.py
@@ -30,7 +30,10 @@
         "Requests and prompt parts found to crash servers, and those that no longer are suspects.",
         ("change",),
     ),
-    "forward_repeats": ("Repeats by whether the budget allowed them.", ("allowed",)),
+    "forward_repeats": (
+        "Requests sent to a server again, by kind, and those that were not, by cause.",
+        ("kind", "allowed"),
+    ),
     "generation_moves": ("Moves of running generations, by result.", ("result",)),
     "protocol_errors": ("Client input that could not be served, by status.", ("status",)),
     "rows_taken": ("Rows that changed what the daemon knows, by source.", ("source",)),
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -43,6 +43,23 @@
         sent = sum(budget.take(float("inf"), 0.0) for _ in range(100))
         self.assertEqual(sent, 8)
 
+    def test_a_restarted_daemon_begins_with_a_small_part(self):
+        # Guards against each process of a daemon using the complete part of one window.
+        first, second = RetryBudget(0.2, 54, 10.0), RetryBudget(0.2, 54, 10.0)
+        sent = sum(first.take(1, 0.0) for _ in range(100))
+        sent += sum(second.take(1, 0.5, restarted=True) for _ in range(100))
+        self.assertLessEqual(sent, 54)
+        self.assertGreater(sum(second.take(1, 10.5) for _ in range(100)), 30)
+
+    def test_a_send_that_was_not_made_is_given_back(self):
+        # Guards against migrations that were given up and use the budget of others.
+        budget = RetryBudget(0.0, 10, 10.0)
+        self.assertEqual(sum(budget.take(1, 0.1 * n) for n in range(20)), 8)
+        budget.give_back(0.2)
+        self.assertEqual(sum(budget.take(1, 5.0) for _ in range(20)), 1)
+        budget.give_back(-20.0)
+        self.assertFalse(budget.take(1, 5.0))
+
     @settings(derandomize=True)
     @given(st.lists(st.tuples(st.floats(0, 1), st.booleans()), max_size=200))
     def test_no_window_exceeds_the_bound(self, steps):
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import re
+from math import isfinite
 
 from standins.replica import Engine
 
 from lovageway.forwarding.migration import LeavingRun
 from lovageway.forwarding.streams import HANDOVER_WAIT_S
-from tests.relayworld import RelayCase, engine_service, route
+from tests.relayworld import BOUNDS, RelayCase, engine_service, route
 
 STREAM = route(
     route_kind="streaming", service="llm", timeout_ms=20000, sticky_sessions=True, max_attempts=1
@@ -298,6 +299,57 @@
         self.assertEqual(other.requests, [])
 
 
+class BudgetOfSends(RelayCase):
+    """Guards against arrivals beyond the first of each request that nothing bounds."""
+
+    async def test_continuations_from_checkpoints_stay_within_the_retry_budget(self):
+        # Guards against engines that break off what they run and get all of it again from copies,
+        # beside the budget: the operator bounds all arrivals, whatever they are for.
+        engines = [Engine(f"i-{n}", events=60, event_interval_s=0.005) for n in (1, 2)]
+        for engine in engines:
+            engine.reset_after_events = 1
+        await self.serve(*engines, routes=[STREAM])
+        asks = [self.ask(method="POST", body=b"p", attempt=f"id-{n}", **LONG) for n in range(4)]
+        replies = await asyncio.gather(*asks)
+        arrivals = sum(len(engine.requests) for engine in engines)
+        self.assertLessEqual(arrivals - 4, 0.2 * 4 + BOUNDS.retry_extra)
+        self.assertGreater(arrivals - 4, 10)
+        self.assertEqual([reply.complete for reply in replies], [False] * 4)
+        why = {line["why"] for line in self.relays[0].log.of("not_sent_again")}
+        self.assertEqual(why, {"no_budget"})
+
+    async def test_a_generation_is_not_stopped_for_a_migration_that_the_budget_forbids(self):
+        # Guards against a generation that is stopped at its source and may then not go on.
+        engine = Engine("i-1", events=60, event_interval_s=0.01)
+        other = Engine("i-2", events=60, event_interval_s=0.01)
+        await self.serve(engine, routes=[STREAM], services=NO_COPIES)
+        state = self.relays[0].state
+        while state.budget("llm").take(1, state.clock()):
+            pass
+        client = await self.client()
+        await client.send(method="POST", body=b"p", **LONG)
+        await self.until(lambda: engine.generated_events.get("id-1", 0) > 3)
+        await self.start_server(other)
+        self.store.put("servers", "i-1", engine.entry(state="draining"))
+        reply = await client.reply()
+        self.assertTrue(reply.complete)
+        self.assertEqual((engine.migrations, other.requests), ([], []))
+
+    async def test_a_daemon_knows_that_it_was_restarted(self):
+        # Guards against a bound that starts anew with each process: the earlier one may have used
+        # its part of the budget in the same window.
+        server = Engine()
+        await self.serve(server, routes=[STREAM])
+        service = self.relays[0].state.routes.cfg.services["llm"]
+        await self.until(lambda: not self.relays[0].state.sharing(service).restarted)
+        await self.relays[0].close()
+        again = await self.start_relay()
+        await self.until(lambda: again.state.configured.is_set())
+        state = again.state
+        await self.until(lambda: isfinite(state.members.count_sharers(state.clock())))
+        self.assertTrue(again.state.sharing(service).restarted)
+
+
 class _DiscardingDict(dict):
     def __setitem__(self, key, value):
         pass
