Limit the answers to the calls that copy and free generations, in size and in time

Cause: these answers could have 4 MB each outside the memory budget, each part began a new time-out of 4 s, and a connection whose call got no answer went back to the pool with the call still pending; the next call on it failed.

--- a/src/lovageway/forwarding/migrator.py
+++ b/src/lovageway/forwarding/migrator.py
@@ -12,7 +12,8 @@
 from lovageway.forwarding.resend import Kind
 from lovageway.platform import engines
 
-CALL_TIMEOUT_S = 4.0  # for each part of an answer, and for all attempts to migrate together
+CALL_TIMEOUT_S = 4.0  # for each call, and for all attempts to migrate together
+MAX_CALL_ANSWER_BYTES = 16 * 1024
 RETRY_PAUSE_S = 0.05  # before engines that refused a migration are tried again
 POLL_INTERVAL_S = 0.01
 MAX_POLL_DELAY_S = 0.02  # a longer one means that the event loop stood still
@@ -187,38 +188,47 @@
     async def free(self, copied: CopiedGeneration) -> None:
         """Free an unused copy on both engines, and remove its load at the destination."""
         self._state.load_tracker.remove(copied.entry.id, self._request.tokens)
-        key = str(copied.source)
         try:
-            conn = await self._state.pool.acquire(key, copied.source)
+            status, _ = await self._call(
+                str(copied.source), copied.source, engines.free_kv_cache(copied.handle)
+            )
+            cause = None if status else "no answer"
         except OSError as exc:
-            self._state.log("copy_not_freed", id=self._request.head.attempt_id, cause=str(exc))
-            return
-        exchange = Exchange(None)
-        conn.begin(exchange, engines.free_kv_cache(copied.handle))
-        while (part := await next_part(exchange, CALL_TIMEOUT_S)) is not None and not part.end:
-            continue
-        self._state.pool.release(key, conn)
+            cause = str(exc)
+        if cause is not None:
+            self._state.log("copy_not_freed", id=self._request.head.attempt_id, cause=cause)
 
     async def _copy(self, source: Entry, to: Entry, *, last: bool) -> MigrationResult:
         """Request a copy from the source; the result has status 0 if the outcome is unknown."""
         call = engines.migrate(self._request.head.attempt_id, to.replica.address, last=last)
-        key = connection_key(source)
-        exchange = Exchange(None)
-        status, body = 0, b""
         try:
-            conn = await self._state.pool.acquire(key, source.replica.address)
+            status, body = await self._call(connection_key(source), source.replica.address, call)
         except OSError:
             return MigrationResult(0, None, 0)
+        return engines.migration_result(status, body)
+
+    async def _call(self, key: str, address: Address, call: bytes) -> tuple[int, bytes]:
+        """Return status and body of an engine's answer; status 0 if it was not complete in time.
+
+        Raises
+        ------
+        OSError
+            The connection could not be opened.
+        """
+        conn = await self._state.pool.acquire(key, address)
+        exchange = Exchange(None, max_bytes=MAX_CALL_ANSWER_BYTES)
         conn.begin(exchange, call)
+        status, body = 0, b""
+        until = self._state.clock() + CALL_TIMEOUT_S
         try:
             while True:
-                part = await next_part(exchange, CALL_TIMEOUT_S)
+                part = await next_part(exchange, until - self._state.clock())
                 if part is None:
-                    return MigrationResult(0, None, 0)
+                    return 0, b""
                 status = part.head.status if part.head is not None else status
                 body += part.data
                 if part.end:
-                    return engines.migration_result(status if part.complete else 0, body)
+                    return (status if part.complete else 0), body
         finally:
             if exchange.ended:
                 self._state.pool.release(key, conn)
