Count the partial event of a stream against the memory for answers

Cause: each stream could hold an event of up to 256 KB without end outside the budget, 37 MB for the 144 streams of six engines. The new test fails before the change (nothing is rejected).

--- a/src/lovageway/forwarding/events.py
+++ b/src/lovageway/forwarding/events.py
@@ -51,6 +51,11 @@
             raise EventTooLargeError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
         return events
 
+    @property
+    def pending(self) -> int:
+        """Return the number of bytes after the last complete event."""
+        return len(self._rest)
+
     @property
     def rest(self) -> bytes:
         """Return the bytes after the last complete event."""
--- a/src/lovageway/forwarding/memorybudget.py
+++ b/src/lovageway/forwarding/memorybudget.py
@@ -55,6 +55,14 @@
         self.size += size
         return True
 
+    def resize(self, size: int) -> bool:
+        """Change the reservation to `size` bytes; return False, and keep it, if it may not grow."""
+        if size > self.size:
+            return self.reserve(size - self.size)
+        self._budget.release(self.size - size)
+        self.size = size
+        return True
+
     def release(self) -> None:
         """Release all bytes of this reservation."""
         self._budget.release(self.size)
--- a/src/lovageway/forwarding/streams.py
+++ b/src/lovageway/forwarding/streams.py
@@ -312,6 +312,9 @@
             except EventTooLargeError:
                 exchange.fault = "event"
                 return self._classify(entry, head, b"", splitter, False, False)
+            if not self.request.reserved.resize(splitter.pending):
+                exchange.fault = "memory"
+                return self._classify(entry, head, b"", splitter, False, False)
             limit = None if exchange.ended else self.request.answer_time_s()
             if not await self.conn.wait_until_writable(limit):
                 return AttemptResult(Outcome.SILENT, head, b"")
--- a/tests/test_server_faults.py
+++ b/tests/test_server_faults.py
@@ -91,6 +91,32 @@
         self.assertEqual((await self.ask()).body, server.body)
         await self.until(lambda: state.answer_budget.reserved == 0)
 
+    async def test_partial_events_count_against_the_memory_limit(self):
+        # Guards against many streams that each keep an event without end, just below its limit.
+        engine = Engine()
+        await self.serve(engine, routes=[STREAM])
+        state = self.relays[0].state
+        state.answer_budget.max_bytes = 250_000
+
+        async def run(asked, attempt, writer):
+            headers = [("Attempt-Id", attempt), SIGNATURE]
+            writer.write(answer(200, b"data: " + b"x" * 200_000, headers, length=False))
+            await asyncio.Event().wait()
+
+        engine.run = run
+        fields = {"method": "POST", "body": b"p", "Token_Usage": "90,50"}
+        asks = [
+            asyncio.create_task(self.ask(attempt=f"id-{n}", target=f"/s/{n}", **fields))
+            for n in range(2)
+        ]
+        rejected = self.relays[0].log.of
+        await self.until(lambda: rejected("answer_rejected"))
+        self.assertEqual([line["fault"] for line in rejected("answer_rejected")], ["memory"])
+        for task in asks:
+            task.cancel()
+        await asyncio.gather(*asks, return_exceptions=True)
+        await self.until(lambda: not state.answer_budget.reserved)
+
 
 class Progress(RelayCase):
     async def test_a_slow_but_healthy_stream_is_not_interrupted(self):
