Give up a slow call early only with a retry on another server reserved

What callers saw (in the test of bytes without end): a call to a sound but slow server was ended with 502 after 0.25 s of its 2 s, because the retry for which it was given up was then held back by the budget. Without another server it ran again on the same one, up to three times.

Cause: the short time-out of an attempt came first, and the decision about a retry after it.

Why this works: the retry is decided, and charged, at the moment of the short time-out; if it is not allowed, the attempt lasts as long as the request may. Both new tests fail before the change (502; three runs on one server).

--- a/src/lovageway/forwarding/attempt.py
+++ b/src/lovageway/forwarding/attempt.py
@@ -1,7 +1,7 @@
 """One attempt of a request at a server: sending it, reading the answer, classifying the result."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from enum import Enum
 from typing import NamedTuple
@@ -158,17 +158,31 @@
     return head.signed and not head.encoded
 
 
-async def attempt_call(request: Request, entry: Entry, limit_s: float) -> AttemptResult:
-    """Send a request and read the complete answer."""
+async def attempt_call(
+    request: Request, entry: Entry, limit_s: float, may_give_up: Callable[[], bool]
+) -> AttemptResult:
+    """Send a request and read the complete answer.
+
+    Parameters
+    ----------
+    limit_s
+        Time after which the attempt is given up if it may be, in seconds.
+    may_give_up
+        Asked once at that time; if it returns False, the attempt lasts as long as the request may.
+    """
     state = request.state
     began = state.clock()
+    until, last_at = began + limit_s, began + request.answer_time_s()
     head: AnswerHead | None = None
     body = bytearray()
     request.reserved.release()
     try:
         async with send(request, entry, AttemptOptions(request.head.last_event)) as exchange:
             while True:
-                part = await next_part(exchange, began + limit_s - state.clock())
+                part = await next_part(exchange, until - state.clock())
+                if part is None and until < last_at and not may_give_up():
+                    until = last_at
+                    continue
                 if part is None:
                     entry.on_failure(state.clock(), TIMEOUT_FAILURE_WEIGHT)
                     return AttemptResult(Outcome.SILENT, head, b"")
--- a/src/lovageway/forwarding/forwarder.py
+++ b/src/lovageway/forwarding/forwarder.py
@@ -35,6 +35,7 @@
         self.outcome = "gone"
         self.attempt_id: str | None = None
         self._given_up = False
+        self._retry_reserved = False  # for the attempt that was given up without an answer
 
     async def run(self) -> None:
         """Serve the request and write exactly one log line for it."""
@@ -93,13 +94,15 @@
         state = self.state
         last: AttemptResult | None = None
         while True:
+            self._retry_reserved = False
             choose = partial(state.choose, request.work(), request.regions)
             placed = await place(request, choose)
             if placed.is_error():
                 self._end_call(request, last, placed.error)
                 return
+            limit_s = self._attempt_timeout_s(request, placed.ok)
             last = await attempt_call(
-                request, placed.ok, self._attempt_timeout_s(request, placed.ok)
+                request, placed.ok, limit_s, partial(self._may_give_up, request)
             )
             state.telemetry.add("forward_attempts", last.outcome.value)
             request.outcomes.append(last.outcome.value)
@@ -109,6 +112,8 @@
                 return
             if last.outcome in (Outcome.FAILED, Outcome.BROKEN, Outcome.SILENT):
                 request.possible_runs += 1
+            if self._retry_reserved:
+                continue
             if self._is_final(request, last) or not self.reserve_retry(request, last.outcome):
                 self._end_call(request, last, None)
                 return
@@ -121,10 +126,21 @@
         """
         if last.outcome is not Outcome.FAILED or not can_pass_on(last.head):
             return False
-        entries = self.state.usable(request.service, request.regions)
-        others = [entry for entry in entries if entry.id not in request.tried]
+        others = self._untried(request)
         return not placement.has_free_slot(others, self.state.load_tracker, self.state.clock())
 
+    def _may_give_up(self, request: Request) -> bool:
+        """Reserve a retry on another server for an attempt without an answer, if there is one."""
+        self._retry_reserved = bool(self._untried(request)) and self.reserve_retry(
+            request, Outcome.SILENT
+        )
+        return self._retry_reserved
+
+    def _untried(self, request: Request) -> list[Entry]:
+        """Return the usable servers to which a request has not been sent."""
+        entries = self.state.usable(request.service, request.regions)
+        return [entry for entry in entries if entry.id not in request.tried]
+
     def _attempt_timeout_s(self, request: Request, entry: Entry) -> float:
         """Return how long to wait for an answer before trying another server, in seconds."""
         left = request.answer_time_s()
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -5,6 +5,7 @@
 
 from standins.replica import Engine, Replica
 
+from lovageway.forwarding.forwarder import MIN_ANSWER_TIMEOUT_S
 from lovageway.forwarding.mirror import FIRST
 from tests.relayworld import KEY, RelayCase, route
 
@@ -181,6 +182,32 @@
         reply = await self.ask(Deadline_Ms="4000")
         self.assertEqual((reply.status, len(second.executions)), (200, 1))
 
+    async def assert_slow_answer_is_waited_for(self, *servers):
+        for server in servers:
+            server.behaviour = "hold"
+        task = asyncio.create_task(self.ask())
+        await asyncio.sleep(3 * MIN_ANSWER_TIMEOUT_S)
+        for server in servers:
+            server.released.set()
+        self.assertEqual((await task).status, 200)
+        self.assertEqual(sum(len(server.requests) for server in servers), 1)
+
+    async def test_a_slow_answer_is_waited_for_if_there_is_no_other_server(self):
+        # Guards against a second run on the same server of a call that it still works on.
+        server = Replica()
+        await self.serve(server, routes=[route(max_attempts=3)])
+        await self.assert_slow_answer_is_waited_for(server)
+
+    async def test_a_slow_answer_is_waited_for_if_the_budget_allows_no_retry(self):
+        # Guards against a call that is cut off after a fraction of its time for a retry that is
+        # then held back: its answer would still have come.
+        servers = [Replica("i-1"), Replica("i-2", zone="z2")]
+        await self.serve(*servers, routes=[route(max_attempts=3)])
+        state = self.relays[0].state
+        while state.budget("svc").take(1, state.clock()):
+            pass
+        await self.assert_slow_answer_is_waited_for(*servers)
+
     async def test_the_request_of_a_disconnected_client_is_cancelled(self):
         # Guards against server capacity that stays in use after the client disconnected.
         server = Replica()
