Check the retry budget in the soak: all arrivals beyond the first of each request

The soak did not see continuations that pile up. It now counts the arrivals at its servers as the rule does, in any window, with the bounds that it gives the daemons.

--- a/soak/promises.py
+++ b/soak/promises.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from soak.faults import LIMITED
-from soak.servers import EVENTS, expected_body
+from soak.servers import EVENTS, EngineServer, expected_body
 
 # Statuses which promise that the request was not executed and never will be.
 NOT_RUN = (408, 421, 429, 503)
@@ -106,6 +106,35 @@
     return broken
 
 
+def check_budget(observed, servers, ratio, extra, window_s):
+    """Return a line for each service that got more further arrivals than its retry budget allows.
+
+    All arrivals of a request beyond its first count, whatever they are for. The requests are
+    counted in the same window, the one before it or the one half a window before it, whichever has
+    most.
+    """
+    broken = []
+    for service in sorted({server.service for server in servers}):
+        seen, again = set(), []
+        members = [server for server in servers if server.service == service]
+        for at, attempt, _ in sorted(item for server in members for item in server.arrivals):
+            if attempt in seen:
+                again.append(at)
+            seen.add(attempt)
+        is_stream = service == EngineServer.service
+        asked = [item.begin for item in observed if (item.kind == "stream") == is_stream]
+        for begin in again:
+            count = sum(begin <= at < begin + window_s for at in again)
+            requests = max(
+                sum(begin - back <= at < begin - back + window_s for at in asked)
+                for back in (0.0, window_s / 2, window_s)
+            )
+            if count > ratio * requests + extra:
+                broken.append(f"{service}: {count} further arrivals for {requests} requests")
+                break
+    return broken
+
+
 def _count_executions(servers):
     """Return the number of executions by request.
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -25,7 +25,16 @@
 GRACE_PERIOD_S = 4.0
 WRITE_AGAIN_S = 1.0  # until all is written again that the store lost, on average
 ENGINE_RESTART_S = 0.5  # after a request ended an engine
-BOUNDS = {"drain_ms": 1500, "grace_period_s": GRACE_PERIOD_S, "contact_ms": 2000, "ttl_max_s": 2}
+RETRY_BUDGET = (0.2, 40, 10.0)  # ratio to the requests, fixed allowance, window in seconds
+BOUNDS = {
+    "drain_ms": 1500,
+    "grace_period_s": GRACE_PERIOD_S,
+    "contact_ms": 2000,
+    "ttl_max_s": 2,
+    "retry_budget_ratio": RETRY_BUDGET[0],
+    "retry_budget_extra": RETRY_BUDGET[1],
+    "budget_window_s": RETRY_BUDGET[2],
+}
 READY_TIMEOUT_S = 20.0  # for the start of a daemon, on a busy machine
 _PEAK_MEMORY = re.compile(r"VmHWM:\s+(\d+) kB")
 LIMITS = {"max_header_bytes": 4096, "max_body_bytes": 100000}
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,7 +5,7 @@
 from types import SimpleNamespace
 
 from soak.faults import FaultInterval
-from soak.promises import ObservedRequest, check, check_crashes
+from soak.promises import ObservedRequest, check, check_budget, check_crashes
 from soak.run import run
 from soak.servers import EVENTS, event, expected_body
 
@@ -54,6 +54,15 @@
         self.assertIn("another", self.broken(stream([1], attempt="b", complete=False))[0])
         self.assertIn("complete after 2", self.broken(stream([1, 2]))[0])
 
+    def test_arrivals_beyond_the_retry_budget_are_detected(self):
+        # Guards against repeats that pile up unseen, those that continue from copies included.
+        asked = [observed(id=f"a{n}", begin=n * 0.1) for n in range(20)]
+        once = [(item.begin + 0.1, item.id, "/") for item in asked]
+        again = [(3.0 + n * 0.1, f"a{n}", "/") for n in range(7)]
+        for extra, lines in ((3, 0), (2, 1)):
+            server = SimpleNamespace(service="svc", arrivals=[*once, *again])
+            self.assertEqual(len(check_budget(asked, [server], 0.2, extra, 10.0)), lines)
+
     def test_a_call_cut_by_planned_work_is_detected(self):
         cut = observed(status=0, complete=False)
         stop = FaultInterval("stop", "d0", 10.5, 12.0)
