Judge by the pace of recent streams whether a generation can end before the process does

Cause: `longest_s` took 10 ms for a token, whatever the engines do, and nothing looked at the stop again after a request had waited in the queue.

Only a stop asks for it. A refused client goes to another daemon at once. The new test fails before the change (200 three times).

--- a/src/lovageway/forwarding/request.py
+++ b/src/lovageway/forwarding/request.py
@@ -186,7 +186,13 @@
         return EXPECTED_CALL_S
     is_final = request.route.repeat is Repeat.STREAM and not request.route.resumable
     tokens = generation.output_limit if is_final else placement.expected_output(generation)
-    return EXPECTED_CALL_S + tokens * placement.TOKEN_S
+    default_s = placement.TOKEN_S
+    if request.service.engine is not None:
+        # A sound engine may take as long as the route's target allows between two events.
+        per_event = max(1, request.service.engine.tokens_per_event)
+        default_s = max(default_s, request.route.gap_s / per_event)
+    state, name = request.state, request.service.name
+    return EXPECTED_CALL_S + state.token_pace.longest_s(name, tokens, default_s, state.clock())
 
 
 def admit(state: State, inbound: Inbound, head: RequestHead) -> Result[Request, Refusal]:
@@ -307,6 +313,9 @@
     blocked = hold_back(request)
     if blocked is not None:
         return Error(blocked)
+    if request.sends == 0 and not state.lifecycle.can_finish(longest_s(request), state.clock()):
+        # The stop began, or the time passed, while the request waited.
+        return Error(Refusal(Code.LEAVING, retry_after_s=0.0))
     if entry is None:
         return Error(Refusal(Code.WAITED_TOO_LONG, retry_after_s=RETRY_AFTER_S))
     return Ok(entry)
--- a/src/lovageway/forwarding/state.py
+++ b/src/lovageway/forwarding/state.py
@@ -25,6 +25,7 @@
 from lovageway.forwarding.statements import Change as StatementChange
 from lovageway.forwarding.statements import Statements
 from lovageway.forwarding.telemetry import Telemetry
+from lovageway.forwarding.tokenpace import TokenPace
 from lovageway.platform import heads, names, records
 
 RENEWED_TABLES = frozenset({names.SERVERS_TABLE})  # whose writers write as long as they live
@@ -62,6 +63,7 @@
         self.statements = Statements()
         self.replicas = Replicas(cfg.bounds, self.statements)
         self.load_tracker = LoadTracker()
+        self.token_pace = TokenPace()
         self.poison = PoisonDetector()
         self.migration_schedule = MigrationSchedule()
         self.announce_migration_started: Callable[[str, str], None] = (
--- a/src/lovageway/forwarding/streams.py
+++ b/src/lovageway/forwarding/streams.py
@@ -41,6 +41,7 @@
 STALL_TARGETS = 4.0  # multiple of the route's target time to the first event
 STALL_GAPS = 8.0  # multiple of the route's target for the longest gap between events
 MAX_LOGGED_PARTS = 16
+PACE_EVENTS = 5  # events after which the pace of a stream is recorded again
 HANDOVER_WAIT_S = 3.0  # for the result of a migration after the source ended its stream
 
 
@@ -403,6 +404,13 @@
             self.client.status = head.status
             self.conn.start(head.status, list(head.headers), head.reason)
         self.event_timing.on_event(now)
+        if self.event_timing.events % PACE_EVENTS == 0:
+            self.state.token_pace.on_events(
+                self.request.service.name,
+                self.event_timing.events,
+                self.event_timing.mean_gap_s / self._tokens_per_event(),
+                now,
+            )
         self.request.resends.on_progress()
         if event_id is not None:
             self.last_id = event_id
@@ -534,16 +542,19 @@
         to = self.migrator.destination(entry, run)
         return migration.describe(self.request.head.attempt_id, run, engine, entry, to)
 
+    def _tokens_per_event(self) -> int:
+        """Return the configured tokens per event; a negative value counts as 1."""
+        engine = self.request.service.engine
+        return max(1, engine.tokens_per_event) if engine is not None else 1
+
     def progress(self) -> migration.RunState:
         """Return the token counts and the speed of the generation.
 
         The count of generated tokens is an estimate: events times configured tokens per event.
         """
         generation = self.request.head.generation
-        engine = self.request.service.engine
-        assert generation is not None and engine is not None
-        # A negative value in the configuration is not rejected; it counts as 1.
-        tokens_per_event = max(1, engine.tokens_per_event)
+        assert generation is not None
+        tokens_per_event = self._tokens_per_event()
         return migration.RunState(
             prompt=generation.prompt,
             generated=self.event_timing.events * tokens_per_event,
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -397,6 +397,26 @@
         ]
         self.assertEqual((statuses, engine.executions), ([503, 200], ["id-100"]))
 
+    async def test_a_generation_is_refused_during_a_stop_if_it_is_too_slow_to_end(self):
+        # Guards against streams that are cut by the end of the process, since their engine is
+        # slower than a fixed time for a token: 250 tokens at 20 ms take 5 s.
+        engine = Engine(events=2)
+        stream = route(
+            route_kind="streaming", service="llm", timeout_ms=39000, sticky_sessions=True
+        )
+        await self.serve(engine, routes=[{**stream, "max_attempts": 1}])
+        state = self.relays[0].state
+        self.relays[0].stop()
+        state.lifecycle._leaving_at -= 3.1
+        fields = {"Token_Usage": "1000,250"}
+        unknown = await self.ask(attempt="id-unknown", **fields)
+        state.token_pace.on_events("llm", 50, 0.007, state.clock())
+        fast = await self.ask(attempt="id-fast", **fields)
+        state.token_pace.on_events("llm", 50, 0.020, state.clock())
+        slow = await self.ask(attempt="id-slow", **fields)
+        self.assertEqual((unknown.status, fast.status, slow.status), (503, 200, 503))
+        self.assertEqual(engine.executions, ["id-fast"])
+
     async def test_what_runs_at_the_end_of_the_grace_is_answered(self):
         # Guards against a connection that ends without an answer when the process is killed.
         server = Replica()
