Count a body with its copy for the server, and drop refused bodies at once

Cause: the budget counted a body once, and up to four copies were held at times; refused bodies stayed outside the budget until their connections were closed.

Why this works: a body counts twice, it is collected in one buffer, written without a copy that includes its head if it is large, and dropped when it is refused. Two of the three new tests fail before the change by their assertion, the third since `begin` took no body of its own.

--- a/src/lovageway/forwarding/attempt.py
+++ b/src/lovageway/forwarding/attempt.py
@@ -104,7 +104,8 @@
         request.servers.append(entry.id)
         request.tried.add(entry.id)
         sent = True
-        conn.begin(exchange, heads.forwarded(request.head, added, request.inbound.body))
+        body = request.inbound.body
+        conn.begin(exchange, heads.forwarded(request.head, added, len(body)), body)
         yield exchange
     finally:
         if exchange.fault is not None:
--- a/src/lovageway/forwarding/connections.py
+++ b/src/lovageway/forwarding/connections.py
@@ -342,6 +342,7 @@
         self._input.discard()
         self._handler.on_rejected(status, reason)
         self._queue.clear()
+        self._body = bytearray()
         if self.current is not None:
             self._close_after = True
             return
--- a/src/lovageway/forwarding/listeners.py
+++ b/src/lovageway/forwarding/listeners.py
@@ -8,6 +8,8 @@
 from lovageway.forwarding.model import RequestLimits
 from lovageway.forwarding.state import State
 
+BODY_COPIES = 2  # of a body: as received, and in the buffer of the connection to a server
+
 
 class Listener:
     """Connections of one listening address, with the callbacks that are common to all."""
@@ -29,8 +31,8 @@
     def reserve_body(self, size: int) -> bool:
         """Reserve memory for bodies within the daemon's budget; a negative size releases it."""
         if size > 0:
-            return self.state.body_budget.reserve(size)
-        self.state.body_budget.release(-size)
+            return self.state.body_budget.reserve(BODY_COPIES * size)
+        self.state.body_budget.release(-BODY_COPIES * size)
         return True
 
     def on_connect(self, conn: ClientConnection) -> None:
--- a/src/lovageway/forwarding/outbound.py
+++ b/src/lovageway/forwarding/outbound.py
@@ -27,6 +27,7 @@
 MAX_HEADERS = 200
 MAX_INTERIM_ANSWERS = 8  # answers with status 1xx before the final answer
 MAX_ATTEMPT_IDS = 64  # remembered for each connection
+SEPARATE_BODY_BYTES = 64 * 1024  # a larger body is written without a copy that includes its head
 MAX_SKIPPED_BYTES = 64 * 1024  # of answers to other requests, read before the awaited answer
 
 HeadDecoder = Callable[[int, str, list[tuple[str, str]]], AnswerHead]
@@ -198,7 +199,7 @@
 
     # Use.
 
-    def begin(self, exchange: Exchange, data: bytes) -> None:
+    def begin(self, exchange: Exchange, head: bytes, body: bytes = b"") -> None:
         """Send a request and pass its answer to the exchange."""
         assert self._exchange is None and self._transport is not None
         self._exchange = exchange
@@ -206,7 +207,11 @@
             self.attempt_ids.append(exchange.attempt_id)
         self._interim_answers = self._skipped_bytes = 0
         exchange.on_reading_paused = self._input.hold
-        self._transport.write(data)
+        if len(body) < SEPARATE_BODY_BYTES:
+            self._transport.write(head + body)
+        else:
+            self._transport.write(head)
+            self._transport.write(body)
 
     def close(self) -> None:
         """Abort the connection; the server then cancels the request that it runs for it."""
--- a/src/lovageway/platform/heads.py
+++ b/src/lovageway/platform/heads.py
@@ -161,8 +161,8 @@
     backup: Address | None  # engine that keeps a checkpoint
 
 
-def forwarded(head: RequestHead, added: Forwarded, body: bytes) -> bytes:
-    """Encode a request for a backend server, with its body."""
+def forwarded(head: RequestHead, added: Forwarded, body_size: int) -> bytes:
+    """Encode the head of a request for a backend server."""
     lines = [f"{head.method} {head.target} HTTP/1.1"]
     lines += [f"{key}: {value}" for key, value in head.headers]
     lines.append(f"Deadline-Ms: {max(1, int(added.deadline_s / MS))}")
@@ -177,9 +177,9 @@
         lines.append(f"Kv-From: {added.copy[0]}/{added.copy[1]}")
     if added.backup is not None:
         lines.append(f"Kv-Backup: {added.backup}")
-    if body or head.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
-        lines.append(f"Content-Length: {len(body)}")
-    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
+    if body_size or head.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+        lines.append(f"Content-Length: {body_size}")
+    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
 
 
 def answer(status: int, reason: str, headers: Headers) -> AnswerHead:
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -225,6 +225,16 @@
         await asyncio.sleep(0)
         self.assertEqual(self.handler.requests[-1].body, b"x" * 250)
 
+    async def test_a_refused_body_is_dropped_at_once(self):
+        # Guards against refused uploads that stay in memory, outside the budget, for as long as
+        # their connections are closed in an orderly way.
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 900\r\n\r\n"
+        self.conn.data_received(head + b"x" * 500)
+        self.handler.room = 0
+        self.conn.data_received(b"x" * 400)
+        self.assertIn(b"503 Service Unavailable", self.transport.written)
+        self.assertEqual(len(self.conn._body), 0)
+
     async def test_line_ends_outside_requests_are_limited(self):
         # Guards against a client that keeps a connection, and the event loop, with line ends that
         # belong to no request.
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -290,6 +290,18 @@
         client.writer.write(data)
         return await client.read_until_closed()
 
+    async def test_a_body_counts_with_its_copies(self):
+        # Guards against a memory budget for bodies that their copies for the servers exceed.
+        server = Replica()
+        server.behaviour = "hold"
+        await self.serve(server)
+        task = asyncio.create_task(self.ask(method="POST", body=b"x" * 50_000))
+        await self.until(lambda: server.requests)
+        self.assertGreaterEqual(self.relays[0].state.body_budget.reserved, 2 * 50_000)
+        server.released.set()
+        self.assertEqual((await task).status, 200)
+        self.assertEqual(self.relays[0].state.body_budget.reserved, 0)
+
     async def test_malformed_requests_get_a_clear_answer_and_the_daemon_goes_on(self):
         # Guards against request smuggling and against a daemon that crashes on malformed input.
         server = Replica()
--- a/tests/test_outbound.py
+++ b/tests/test_outbound.py
@@ -20,8 +20,10 @@
         self.reading = True
         self.aborted = False
 
+        self.written = []
+
     def write(self, data):
-        pass
+        self.written.append(data)
 
     def abort(self):
         self.aborted = True
@@ -75,6 +77,14 @@
         self.assertIsNotNone((await self.exchange.get()).head)
         self.assertEqual((await self.exchange.get()).data, b"x" * 300)
 
+    async def test_a_large_body_is_not_copied_to_send_it(self):
+        # Guards against uploads that take several times their size of the daemon's memory.
+        conn = ServerConnection(heads.answer, self.clock, InputTurns(self.clock))
+        conn.connection_made(self.transport)
+        body = b"x" * (4 << 20)
+        conn.begin(Exchange("b"), b"head", body)
+        self.assertIs(self.transport.written[-1], body)
+
     async def test_blank_lines_before_a_head_are_limited(self):
         # Guards against a server that sends line ends without end, which are no part of a head.
         for _ in range(MAX_HEAD_BYTES // SLICE_BYTES + 1):
