--- a/src/lovageway/forwarding/connections.py
+++ b/src/lovageway/forwarding/connections.py
@@ -7,7 +7,7 @@
 
 import httptools
 
-from lovageway.forwarding.inputturns import InputTurns, SlicedInput
+from lovageway.forwarding.inputturns import InputTurns, SlicedInput, set_reading
 from lovageway.forwarding.model import RequestLimits
 
 MAX_QUEUED_REQUESTS = 8  # pipelined requests after which reading pauses
@@ -85,7 +85,9 @@
     def __init__(self, handler: Handler, clock: Callable[[], float], turns: InputTurns) -> None:
         self._handler = handler
         self._clock = clock
-        self._input = SlicedInput(turns, self._feed, self._set_reading)
+        self._input = SlicedInput(
+            turns, self._feed, lambda reading: set_reading(self._transport, reading)
+        )
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._url = b""
@@ -246,15 +248,6 @@
         if len(self._queue) >= MAX_QUEUED_REQUESTS:
             self._input.hold(True)
 
-    def _set_reading(self, reading: bool) -> None:
-        """Pause or resume reading from the transport."""
-        if self._transport is None or self.closed or self._transport.is_closing():
-            return
-        if reading:
-            self._transport.resume_reading()
-        else:
-            self._transport.pause_reading()
-
     def _serve_next(self) -> None:
         if self.current is None and self._queue and not self.closed and not self._close_after:
             self.current = self._queue.popleft()
--- a/src/lovageway/forwarding/inputturns.py
+++ b/src/lovageway/forwarding/inputturns.py
@@ -63,6 +63,16 @@
         return self._bytes >= MAX_TURN_BYTES or self._clock() - self._began_at >= TURN_S
 
 
+def set_reading(transport: asyncio.Transport | None, reading: bool) -> None:
+    """Pause or resume reading from a transport, unless its connection is closed."""
+    if transport is None or transport.is_closing():
+        return
+    if reading:
+        transport.resume_reading()
+    else:
+        transport.pause_reading()
+
+
 class SlicedInput:
     """Input of one connection, parsed in slices; reading pauses while parsed input is pending.
 
--- a/src/lovageway/forwarding/outbound.py
+++ b/src/lovageway/forwarding/outbound.py
@@ -13,7 +13,7 @@
 import httptools
 
 from lovageway.forwarding.exchange import BadAnswerError, Exchange, Part
-from lovageway.forwarding.inputturns import InputTurns, SlicedInput
+from lovageway.forwarding.inputturns import InputTurns, SlicedInput, set_reading
 from lovageway.forwarding.model import Address, AnswerHead
 
 # Calls have about one second, and TCP sends a lost SYN packet again only after one second.
@@ -39,7 +39,9 @@
     def __init__(self, decode: HeadDecoder, clock: Callable[[], float], turns: InputTurns) -> None:
         self._decode = decode
         self._clock = clock
-        self._input = SlicedInput(turns, self._feed, self._set_reading)
+        self._input = SlicedInput(
+            turns, self._feed, lambda reading: set_reading(self._transport, reading)
+        )
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._exchange: Exchange | None = None
@@ -230,15 +232,6 @@
         """Return how long the connection has been idle, in seconds."""
         return now - self.idle_since
 
-    def _set_reading(self, reading: bool) -> None:
-        """Pause or resume reading from the transport."""
-        if self._transport is None or self.closed or self._transport.is_closing():
-            return
-        if reading:
-            self._transport.resume_reading()
-        else:
-            self._transport.pause_reading()
-
     def _fail(self, fault: str = "not in the protocol") -> None:
         if self._exchange is not None:
             self._exchange.fault = fault
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -95,9 +95,7 @@
     async def test_a_migrated_stream_without_framing_does_not_end_where_its_source_stopped(self):
         # Guards against a truncated generation that looks complete: the source stops at this
         # daemon's request and closes the connection, as at the end of a stream without framing.
-        engine = Engine("i-1", events=60, event_interval_s=0.01)
-        other = Engine("i-2", events=60, event_interval_s=0.01)
-        reply = await self._migrate_unframed(engine, other, 0.2)
+        reply, other = await self._migrate_unframed(migration_s=0.2)
         self.assertTrue(reply.complete)
         self.assertEqual(ids(reply.body), list(range(1, 61)))
         self.assertEqual(len(other.continuations), 1)
@@ -105,34 +103,33 @@
     async def test_a_stream_without_framing_that_ended_before_its_stop_is_complete(self):
         # Guards against a whole generation that is broken off because the request to stop it
         # arrived after its end.
-        engine = Engine("i-1", events=60, event_interval_s=0.01)
-        other = Engine("i-2", events=60, event_interval_s=0.01)
-        engine.stop_outcome = "ended"
-        reply = await self._migrate_unframed(engine, other, 0.05)
+        reply, other = await self._migrate_unframed(migration_s=0.05, stop_outcome="ended")
         self.assertTrue(reply.complete)
         self.assertEqual(other.continuations, [])
 
     async def test_a_stopped_stream_without_framing_is_broken_off_if_its_copy_is_unknown(self):
         # Guards against a truncated generation that looks complete because the request to stop it
         # got no answer.
-        engine = Engine("i-1", events=60, event_interval_s=0.01)
-        other = Engine("i-2", events=60, event_interval_s=0.01)
-        engine.stop_outcome = "lost"
-        reply = await self._migrate_unframed(engine, other, 0.0)
+        reply, _ = await self._migrate_unframed(stop_outcome="lost")
         self.assertFalse(reply.complete)
         self.assertEqual(ids(reply.body), list(range(1, len(ids(reply.body)) + 1)))
 
-    async def _migrate_unframed(self, engine, other, migration_s):
-        """Return the reply of a stream without framing whose engine leaves while it runs."""
+    async def _migrate_unframed(self, migration_s=0.0, stop_outcome=""):
+        """Let the engine of a stream without framing leave; return the reply and the other engine.
+
+        See `Engine` for the parameters.
+        """
+        engine = Engine("i-1", events=60, event_interval_s=0.01)
+        other = Engine("i-2", events=60, event_interval_s=0.01)
         engine.behaviour = other.behaviour = "unframed"
-        engine.migration_s = migration_s
+        engine.migration_s, engine.stop_outcome = migration_s, stop_outcome
         await self.serve(engine, routes=[STREAM], services=NO_COPIES)
         client = await self.client()
         await client.send(method="POST", body=b"p", **LONG)
         await self.until(lambda: engine.generated_events.get("id-1", 0) > 3)
         await self.start_server(other)
         self.store.put("servers", "i-1", engine.entry(state="draining"))
-        return await client.reply()
+        return await client.reply(), other
 
     async def test_a_refused_migration_leaves_the_generation_running(self):
         # Guards against a failed migration that ends a generation which could have continued.
