--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -23,6 +23,16 @@
     return [int(found) for found in re.findall(rb"^id: (\d+)$", body, re.MULTILINE)]
 
 
+async def leave_while_running(case, engine, other):
+    """Let `engine` leave while it runs a long generation and `other` starts; return the reply."""
+    client = await case.client()
+    await client.send(method="POST", body=b"p", **LONG)
+    await case.until(lambda: engine.generated_events.get("id-1", 0) > 3)
+    await case.start_server(other)
+    case.store.put("servers", engine.name, engine.entry(state="draining"))
+    return await client.reply()
+
+
 class Streams(RelayCase):
     async def test_events_arrive_once_and_in_order_until_the_end(self):
         # Guards against missing or duplicated events, and against an end that is not forwarded.
@@ -80,12 +90,7 @@
         # Guards against generations that are lost with their engine.
         engine, other = Engine("i-1", events=60, event_interval_s=0.01), Engine("i-2", events=60)
         await self.serve(engine, routes=[STREAM], services=NO_COPIES)
-        client = await self.client()
-        await client.send(method="POST", body=b"p", **LONG)
-        await self.until(lambda: engine.generated_events.get("id-1", 0) > 3)
-        await self.start_server(other)
-        self.store.put("servers", "i-1", engine.entry(state="draining"))
-        reply = await client.reply()
+        reply = await leave_while_running(self, engine, other)
         self.assertTrue(reply.complete)
         self.assertEqual(ids(reply.body), list(range(1, 61)))
         self.assertEqual([bool(move.get("last")) for move in engine.migrations], [False, True])
@@ -124,12 +129,7 @@
         engine.behaviour = other.behaviour = "unframed"
         engine.migration_s, engine.stop_outcome = migration_s, stop_outcome
         await self.serve(engine, routes=[STREAM], services=NO_COPIES)
-        client = await self.client()
-        await client.send(method="POST", body=b"p", **LONG)
-        await self.until(lambda: engine.generated_events.get("id-1", 0) > 3)
-        await self.start_server(other)
-        self.store.put("servers", "i-1", engine.entry(state="draining"))
-        return await client.reply(), other
+        return await leave_while_running(self, engine, other), other
 
     async def test_a_refused_migration_leaves_the_generation_running(self):
         # Guards against a failed migration that ends a generation which could have continued.
@@ -323,12 +323,7 @@
         state = self.relays[0].state
         while state.budget("llm").take(1, state.clock()):
             pass
-        client = await self.client()
-        await client.send(method="POST", body=b"p", **LONG)
-        await self.until(lambda: engine.generated_events.get("id-1", 0) > 3)
-        await self.start_server(other)
-        self.store.put("servers", "i-1", engine.entry(state="draining"))
-        reply = await client.reply()
+        reply = await leave_while_running(self, engine, other)
         self.assertTrue(reply.complete)
         self.assertEqual((engine.migrations, other.requests), ([], []))
 
