Use one constant for the events after which a stream's pace counts

Cause: streams.PACE_EVENTS and tokenpace.MIN_EVENTS had the same value and meaning; the second check could never fail. Change: streams uses MIN_EVENTS. No change of behaviour; tests.test_streams and tests.test_tokenpace, 29 passed.

--- a/src/lovageway/forwarding/streams.py
+++ b/src/lovageway/forwarding/streams.py
@@ -31,6 +31,7 @@
 from lovageway.forwarding.request import Refusal, Request, hold_back, place
 from lovageway.forwarding.resend import Kind
 from lovageway.forwarding.streamtiming import StreamTiming
+from lovageway.forwarding.tokenpace import MIN_EVENTS
 from lovageway.forwarding.traits import MAX_LABEL
 
 # After its first event, a stream has stalled if no event arrives for the longest of these three
@@ -41,7 +42,6 @@
 STALL_TARGETS = 4.0  # multiple of the route's target time to the first event
 STALL_GAPS = 8.0  # multiple of the route's target for the longest gap between events
 MAX_LOGGED_PARTS = 16
-PACE_EVENTS = 5  # events after which the pace of a stream is recorded again
 HANDOVER_WAIT_S = 3.0  # for the result of a migration after the source ended its stream
 
 
@@ -404,7 +404,7 @@
             self.client.status = head.status
             self.conn.start(head.status, list(head.headers), head.reason)
         self.event_timing.on_event(now)
-        if self.event_timing.events % PACE_EVENTS == 0:
+        if self.event_timing.events % MIN_EVENTS == 0:
             self.state.token_pace.on_events(
                 self.request.service.name,
                 self.event_timing.events,
