Serve orders of roll-outs: expose a new version a little, judge it over the fleet, write the status

Cause: nothing knew the rows op/rollout/SERVICE. An order got no status, and the servers of a bad version, which start beside the old ones, got their full share of the traffic.

Change: forwarding/rollout/. The first daemon in an order of the service coordinates: it announces the phase, collects counts of answers, and writes the status under a condition.

--- a/src/lovageway/forwarding/attempt.py
+++ b/src/lovageway/forwarding/attempt.py
@@ -10,6 +10,7 @@
 from lovageway.forwarding.model import Address, AnswerHead
 from lovageway.forwarding.replicas import Entry
 from lovageway.forwarding.request import Request
+from lovageway.forwarding.rollout.observation import Observation
 from lovageway.platform import heads
 
 TIMEOUT_FAILURE_WEIGHT = 0.7  # of a missing answer, relative to an explicit failure
@@ -177,6 +178,7 @@
     head: AnswerHead | None = None
     body = bytearray()
     request.reserved.release()
+    observation = Observation(state.rollouts, entry, request.route, began)
     try:
         async with send(request, entry, AttemptOptions(request.head.last_event)) as exchange:
             while True:
@@ -186,6 +188,7 @@
                     continue
                 if part is None:
                     entry.on_failure(state.clock(), TIMEOUT_FAILURE_WEIGHT)
+                    observation.on_failure()
                     return AttemptResult(Outcome.SILENT, head, b"")
                 if part.head is not None:
                     head = part.head
@@ -201,9 +204,14 @@
         return AttemptResult(Outcome.NOT_SENT, None, b"")
     complete = part.complete
     crashed = not complete and exchange.fault is None
-    return _classify_answer(
+    result = _classify_answer(
         request, entry, head, bytes(body), began, complete=complete, crashed=crashed
     )
+    if result.outcome is Outcome.ANSWERED:
+        observation.on_answer(state.clock())
+    elif result.outcome is Outcome.FAILED or (crashed and not entry.leaving):
+        observation.on_failure()
+    return result
 
 
 def not_run_result(entry: Entry, head: AnswerHead, body: bytes, now: float) -> AttemptResult:
--- a/src/lovageway/forwarding/gossip.py
+++ b/src/lovageway/forwarding/gossip.py
@@ -15,12 +15,16 @@
 from lovageway.forwarding.mirror import KeptRow, Mirror
 from lovageway.forwarding.model import Revision, Row
 from lovageway.forwarding.poison import News, Suspect
+from lovageway.forwarding.rollout import wire
+from lovageway.forwarding.rollout.model import Announcement
+from lovageway.forwarding.rollout.model import Report as RolloutReport
 from lovageway.forwarding.statements import Report
 from lovageway.forwarding.traits import MAX_LABEL
 
 # Kinds of datagrams. The kind is the first field of each.
 HEARTBEAT, LEAVING_RUNS, MIGRATION_DONE, ROWS, LOAD_ADDED, MIGRATION_STARTED = 1, 2, 3, 4, 5, 6
 POISON, STATEMENTS, ROWS_OF_ERA = 7, 8, 9
+ROLLOUTS, ROLLOUT_REPORT = 10, 11
 MAX_DATAGRAM_BYTES = 8192
 # At least this many servers of each other region are described, even if the total then exceeds
 # MAX_SERVERS.
@@ -119,6 +123,13 @@
     reports: list[Report]
 
 
+class Rollouts(NamedTuple):
+    """What a daemon heard of roll-outs."""
+
+    ip: str  # of the daemon
+    announcements: list[Announcement]
+
+
 class MigrationStarted(NamedTuple):
     """A generation that now uses the network link of an engine that is shutting down."""
 
@@ -142,6 +153,8 @@
     | LoadAdded
     | Poison
     | Statements
+    | Rollouts
+    | RolloutReport
 )
 
 
@@ -202,6 +215,17 @@
     return bytes(msgpack.packb([STATEMENTS, message.ip, [list(r) for r in message.reports]]))
 
 
+@encode.register
+def _(message: Rollouts) -> bytes:
+    fields = [wire.announcement_fields(item) for item in message.announcements]
+    return bytes(msgpack.packb([ROLLOUTS, message.ip, fields]))
+
+
+@encode.register
+def _(message: RolloutReport) -> bytes:
+    return bytes(msgpack.packb([ROLLOUT_REPORT, *wire.report_fields(message)]))
+
+
 @encode.register
 def _(message: MigrationStarted) -> bytes:
     return bytes(msgpack.packb([MIGRATION_STARTED, message.server, message.run]))
@@ -245,6 +269,11 @@
         if kind == STATEMENTS:
             ip, reports = fields
             return Statements(str(ip), [_report(item) for item in reports])
+        if kind == ROLLOUTS:
+            ip, announcements = fields
+            return Rollouts(str(ip), [wire.announcement(item) for item in announcements])
+        if kind == ROLLOUT_REPORT:
+            return wire.report(fields)
         if kind in (ROWS, ROWS_OF_ERA):
             table, after, rows, may_be_expired = fields
             has_era = kind == ROWS_OF_ERA
@@ -401,7 +430,7 @@
     match message:
         case Heartbeat():
             return message.facts.ip
-        case LoadAdded() | LeavingRuns() | Poison() | Statements():
+        case LoadAdded() | LeavingRuns() | Poison() | Statements() | Rollouts() | RolloutReport():
             return message.ip
     return None
 
--- a/src/lovageway/forwarding/members.py
+++ b/src/lovageway/forwarding/members.py
@@ -229,6 +229,13 @@
             for member in map(self._others.__getitem__, self.in_own_region(now))
         ]
 
+    def leaders(self, key: str, count: int, now: float) -> list[str]:
+        """Return the addresses of the first ready daemons in the order of a key."""
+        ready = [facts.ip for facts in self.alive(now) if facts.state == READY]
+        if self.own.state == READY:
+            ready.append(self.own.ip)
+        return heapq.nsmallest(count, ready, key=lambda ip: sort_key(key + ip))
+
     def describe(self, now: float) -> list[dict[str, object]]:
         """Return the live daemons for the operators' dump."""
         return [
--- a/src/lovageway/forwarding/migrator.py
+++ b/src/lovageway/forwarding/migrator.py
@@ -57,7 +57,7 @@
         state, request = self._state, self._request
         usable = [
             entry
-            for entry in state.usable(request.service, request.regions)
+            for entry in state.usable_like(source, request.service, request.regions)
             if entry.id not in refused
         ]
         now = state.clock()
--- a/src/lovageway/forwarding/model.py
+++ b/src/lovageway/forwarding/model.py
@@ -1,7 +1,7 @@
 """Data types of the forwarding path: configuration, backend servers, requests and answers."""
 
 from collections.abc import Hashable
-from enum import Enum
+from enum import Enum, IntEnum
 from typing import NamedTuple
 
 
@@ -36,6 +36,9 @@
     cold_overshoot: float
     cold_tolerance: float
     directory_ttl_max_s: float
+    exposure_share: float = 0.1  # of a service's requests that an unproved version may get
+    exposure_tolerance: float = 0.0  # requests beyond that share
+    rollback_s: float = 5.0  # after the verdict, until a bad version gets nothing
 
 
 class StoreLimits(NamedTuple):
@@ -151,6 +154,7 @@
     leaving: bool
     cold_s: float  # remaining cold time when the entry was written
     started_at_ms: int
+    version: str = ""  # of its software
 
 
 class Generation(NamedTuple):
@@ -216,6 +220,42 @@
     number: int
 
 
+class RolloutPhase(IntEnum):
+    """RolloutPhase of a roll-out. The numbers are sent between daemons."""
+
+    CANARY = 1  # a small share of the requests goes to the new version
+    SHIFT = 2  # so do requests that would still run when the old servers stop
+    SWITCH = 3  # all requests go to the new version
+    HALTED = 4  # rolled back: the new version gets nothing
+    COMPLETED = 5  # the old servers are stopped
+
+    @property
+    def is_final(self) -> bool:
+        """Return whether no other phase follows, apart from a race that another daemon won."""
+        return self in (RolloutPhase.HALTED, RolloutPhase.COMPLETED)
+
+
+class RolloutOrder(NamedTuple):
+    """The operator's order to move a service to another version."""
+
+    service: str
+    to: str  # version
+    duration_s: float
+    revision: Revision  # of the row
+
+    def has_same_terms(self, other: "RolloutOrder") -> bool:
+        """Return whether another order asks for the same."""
+        return (self.to, self.duration_s) == (other.to, other.duration_s)
+
+
+class RolloutStatus(NamedTuple):
+    """The status of a roll-out as the store holds it."""
+
+    phase: RolloutPhase  # CANARY while it is in progress
+    order: RolloutOrder
+    began_ms: int  # time of the store
+
+
 class Row(NamedTuple):
     """A row of the store; `value` is None when the row was removed."""
 
@@ -245,6 +285,7 @@
     version: int  # newest version of the store
     has_more: bool
     era: int | None = None  # versions are comparable within one; None if the store names none
+    now_ms: int = 0  # time of the store's steady clock
 
 
 class MigrationResult(NamedTuple):
--- a/src/lovageway/forwarding/peers.py
+++ b/src/lovageway/forwarding/peers.py
@@ -11,6 +11,8 @@
 from lovageway.forwarding.model import Revision, Row
 from lovageway.forwarding.pacing import PacedRound
 from lovageway.forwarding.poisonspread import PoisonSpread
+from lovageway.forwarding.rollout.model import Report
+from lovageway.forwarding.rollout.spread import RolloutSpread
 from lovageway.forwarding.rowhandler import TABLES, RowHandler
 from lovageway.forwarding.state import RENEWED_TABLES, State
 from lovageway.forwarding.statementspread import StatementSpread
@@ -51,7 +53,6 @@
     def __init__(self, state: State, rng: Random) -> None:
         self._state = state
         self._client = StoreClient(state.cfg.store.address, heads.answer, state.clock, state.turns)
-        self._row_handler = RowHandler(state, self.send_heartbeats, self._send_leaving_runs)
         self._watches = {
             table: TableWatch(
                 table,
@@ -86,6 +87,10 @@
         self._load_added_tokens = TokenBucket(LOAD_ADDED_PER_S, LOAD_ADDED_BURST)
         self._poison_spread = PoisonSpread(state, self._client, self._gossip, self._port)
         self._statement_spread = StatementSpread(state, self._gossip, self._port)
+        self._rollout_spread = RolloutSpread(state, self._client, self._gossip, self._port)
+        self._row_handler = RowHandler(
+            state, self.send_heartbeats, self._send_leaving_runs, self._rollout_spread.on_row
+        )
 
     async def start(self) -> None:
         """Open the sockets between daemons and start to watch the store."""
@@ -103,6 +108,7 @@
             watch.stop()
         self._poison_spread.close()
         self._statement_spread.close()
+        self._rollout_spread.close()
         self._gossip.close()
         if self._totals_timer is not None:
             self._totals_timer.cancel()
@@ -158,6 +164,7 @@
         self.pull_newer_rows(now)
         self.update_watching(now)
         self._poison_spread.tick(now)
+        self._rollout_spread.tick(now)
         self._state.statements.forget(now)
 
     # Rows.
@@ -299,6 +306,7 @@
         self._send(heartbeat, to.reports)
         self._poison_spread.send_to(to.reports, now)
         self._statement_spread.send_to(to.reports, now)
+        self._rollout_spread.send_to(to.reports, now)
         if not to.region and not to.other_regions:
             return
         self._totals_sent += 1
@@ -316,6 +324,7 @@
         state, now = self._state, self._state.clock()
         self._poison_spread.send_to(group, now)
         self._statement_spread.send_to(group, now)
+        self._rollout_spread.send_to(group, now)
         total, daemons = state.load_tracker.total(now), state.load_tracker.daemons()
         own_region = set(state.members.in_own_region(now))
         for ip in group:
@@ -380,6 +389,10 @@
                 self._poison_spread.on_peer(news)
             case gossip.Statements():
                 self._statement_spread.on_peer(message)
+            case gossip.Rollouts():
+                self._rollout_spread.on_announcements(message)
+            case Report():
+                self._rollout_spread.on_report(message)
             case gossip.Heartbeat():
                 self._on_heartbeat(message)
 
@@ -427,6 +440,7 @@
                 self._send(self._heartbeat(now, aggregator=True), [heartbeat.facts.ip])
                 self._poison_spread.send_to([heartbeat.facts.ip], now, repeat=True)
                 self._statement_spread.send_to([heartbeat.facts.ip], now, repeat=True)
+                self._rollout_spread.send_to([heartbeat.facts.ip], now, repeat=True)
         self._compare_positions(heartbeat, now)
         state.pump()
 
--- a/src/lovageway/forwarding/placement.py
+++ b/src/lovageway/forwarding/placement.py
@@ -61,6 +61,8 @@
     avoid: frozenset[str]  # ids of servers that were tried
     resumable: bool = False  # the generation may start again elsewhere if its engine leaves
     remote_loads_stale: bool = False  # the load of other regions arrives seconds late
+    route: str = ""  # name; used only while a roll-out of the service is known
+    expected_s: float = 0.0  # how long the request may take; set only then
 
 
 def expected_output(generation: Generation) -> int:
--- a/src/lovageway/forwarding/replicas.py
+++ b/src/lovageway/forwarding/replicas.py
@@ -87,6 +87,7 @@
         self.statements = said if said is not None else Statements()
         self._entries: dict[str, Entry] = {}
         self._evacuated: set[str] = set()
+        self.on_sent: Callable[[Entry], None] = lambda entry: None
 
     def get(self, server: str) -> Entry | None:
         """Return a server's entry."""
@@ -184,6 +185,14 @@
             )
         ]
 
+    def accepting(self, service: str) -> list[Entry]:
+        """Return the servers of a service that accept work, even if they are suspended now."""
+        return [
+            entry
+            for entry in self._entries.values()
+            if self._may_serve(entry, service, frozenset())
+        ]
+
     def has_servers(self, service: str, regions: frozenset[str]) -> bool:
         """Return whether any server of the service accepts work, even if it is suspended now."""
         return any(self._may_serve(entry, service, regions) for entry in self._entries.values())
@@ -241,7 +250,8 @@
         return statements.bound(limit) if limit is not None else None
 
     def on_send(self, entry: Entry, now: float) -> None:
-        """Record a request that is about to be sent, if a bound on the server holds."""
+        """Record a request that is about to be sent."""
+        self.on_sent(entry)
         bound = self._limit_bound(entry)
         if bound is not None or now < entry.cold_until + 1.0:
             entry.sends.forget(now - max(1.0, bound.window_s if bound is not None else 0.0))
--- a/src/lovageway/forwarding/request.py
+++ b/src/lovageway/forwarding/request.py
@@ -150,7 +150,8 @@
 
     def work(self) -> Work:
         """Return the properties of the request that placement uses."""
-        cfg = self.state.cfg
+        state, cfg = self.state, self.state.cfg
+        is_rolled_out = state.rollouts.is_active(self.service.name)
         return Work(
             self.service,
             self.head.generation,
@@ -158,6 +159,8 @@
             cfg.region,
             frozenset(self.tried),
             self.route.resumable,
+            route=self.route.name,
+            expected_s=longest_s(self) if is_rolled_out else 0.0,
         )
 
 
--- /dev/null
+++ b/src/lovageway/forwarding/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Roll-outs: moves a service to servers of another version while it watches their answers."""
--- a/src/lovageway/forwarding/rowhandler.py
+++ b/src/lovageway/forwarding/rowhandler.py
@@ -21,6 +21,8 @@
         Called once, when the configuration and the servers have been received.
     send_leaving_runs
         Called with a leaving server and the generations that run there.
+    on_rollout_row
+        Called with a service and the row that orders its roll-out.
     """
 
     def __init__(
@@ -28,10 +30,12 @@
         state: State,
         on_ready: Callable[[], None],
         send_leaving_runs: Callable[[str, list[LeavingRun]], None],
+        on_rollout_row: Callable[[str, Row], None],
     ) -> None:
         self._state = state
         self._on_ready = on_ready
         self._send_leaving_runs = send_leaving_runs
+        self._on_rollout_row = on_rollout_row
 
     def apply(self, rows: list[Row], source: str, may_be_expired: bool) -> None:
         """Apply changed rows to the controllers.
@@ -62,6 +66,8 @@
             self._apply_server(row, may_be_expired)
         elif records.is_config(row):
             self._apply_config(row, source)
+        elif (service := records.rollout_service(row)) is not None:
+            self._on_rollout_row(service, row)
         else:
             self._apply_evacuation(row, source)
 
--- a/src/lovageway/forwarding/state.py
+++ b/src/lovageway/forwarding/state.py
@@ -21,6 +21,7 @@
 from lovageway.forwarding.poison import PoisonDetector
 from lovageway.forwarding.replicas import Entry, Replicas
 from lovageway.forwarding.retries import RetryBudget
+from lovageway.forwarding.rollout.rollouts import Rollouts
 from lovageway.forwarding.routes import RouteTable
 from lovageway.forwarding.statements import Change as StatementChange
 from lovageway.forwarding.statements import Statements
@@ -62,6 +63,13 @@
         self.mirror = Mirror(records.content, RENEWED_TABLES)
         self.statements = Statements()
         self.replicas = Replicas(cfg.bounds, self.statements)
+        self.rollouts = Rollouts(
+            cfg.bounds, rng, self.replicas.accepting, self.members.count_sharers
+        )
+        self.replicas.on_sent = self.rollouts.on_send
+        self.rollouts.on_counted = lambda service, version, bad: self.telemetry.add(
+            "rollout_answers", service, version, "yes" if bad else "no"
+        )
         self.load_tracker = LoadTracker()
         self.token_pace = TokenPace()
         self.poison = PoisonDetector()
@@ -139,6 +147,7 @@
     def on_first_start(self) -> None:
         """Record that no earlier process of this daemon can have used the retry budgets."""
         self._restarted_until = self.clock()
+        self.rollouts.has_history = False
 
     def sharing(self, service: Service) -> resend.Sharing:
         """Return the retry budget of a service, and how it is shared now."""
@@ -154,7 +163,13 @@
         """Return the servers to which a request of a service may be sent now."""
         now = self.clock()
         members = self.members
-        return self.replicas.usable(service, regions, members.count_sharers(now), now, members.rank)
+        sharers = members.count_sharers(now)
+        entries = self.replicas.usable(service, regions, sharers, now, members.rank)
+        return self.rollouts.permitted(service.name, entries, now)
+
+    def usable_like(self, source: Entry, service: Service, regions: frozenset[str]) -> list[Entry]:
+        """Return the servers to which a generation of a server may migrate now."""
+        return self.rollouts.like(source, self.usable(service, regions))
 
     def choose(self, work: placement.Work, regions: frozenset[str]) -> Entry | None:
         """Return the server for a request, or None if none has capacity.
@@ -163,10 +178,13 @@
         """
         entries, now = self.usable(work.service, regions), self.clock()
         work = work._replace(remote_loads_stale=self.members.is_large(now))
-        entry = placement.choose(work, entries, self.load_tracker, now, self.rng)
-        if entry is not None:
-            self.replicas.on_send(entry, now)
-        return entry
+        for group in self.rollouts.preferences(work, entries, now):
+            entry = placement.choose(work, group, self.load_tracker, now, self.rng)
+            if entry is not None:
+                self.replicas.on_send(entry, now)
+                self.rollouts.on_chosen(work, entry)
+                return entry
+        return None
 
     def is_within_limit(self, entry: Entry) -> bool:
         """Return whether the limit that a server named leaves this daemon room for a request."""
@@ -235,6 +253,7 @@
                 }
                 for entry in self.replicas.all()
             ],
+            "rollouts": self.rollouts.describe(now),
             "suspects": [held._asdict() for held in self.poison.held(now)],
             "waiting": len(self.admission_queue),
             "streams": len(self.streams),
--- a/src/lovageway/forwarding/storewatch.py
+++ b/src/lovageway/forwarding/storewatch.py
@@ -62,7 +62,7 @@
             rows += page.rows
             version = version or page.version
             if not page.has_more or not page.rows:
-                return Page(tuple(rows), version, False, era)
+                return Page(tuple(rows), version, False, era, page.now_ms)
             first_key = page.rows[-1].key + "\0"
 
     async def watch(self, table: str, after: int, wait_s: float) -> Page:
@@ -73,6 +73,16 @@
         """Write one row."""
         await self._call(store.put(table, key, value), 0.0)
 
+    async def put_if(self, table: str, key: str, value: bytes, version: int) -> bool:
+        """Write one row if it still has a version, 0 if there is none; return whether it had."""
+        try:
+            await self._call(store.put_if(table, key, value, version), 0.0)
+        except StoreError as exc:
+            if exc.status != store.CONFLICT:
+                raise
+            return False
+        return True
+
     async def remove(self, table: str, key: str) -> None:
         """Remove one row; it is no error if there is none."""
         await self._call(store.remove(table, key), 0.0)
--- a/src/lovageway/forwarding/streams.py
+++ b/src/lovageway/forwarding/streams.py
@@ -30,6 +30,7 @@
 from lovageway.forwarding.replicas import Entry
 from lovageway.forwarding.request import Refusal, Request, hold_back, place
 from lovageway.forwarding.resend import Kind
+from lovageway.forwarding.rollout.observation import Observation
 from lovageway.forwarding.streamtiming import StreamTiming
 from lovageway.forwarding.tokenpace import MIN_EVENTS
 from lovageway.forwarding.traits import MAX_LABEL
@@ -75,6 +76,7 @@
         self.event_timing = request.event_timing = StreamTiming()
         self.last_id: int | None = None  # id of the last event passed to the client
         self.sent_at = 0.0
+        self.observation: Observation | None = None  # of the current attempt
         self.begun = False  # whether an event arrived in the current attempt
         self._pending_prompt = 0  # prompt tokens that the engine has yet to process
         self.migrator: Migrator | None = None
@@ -177,6 +179,7 @@
         self.entry = entry
         self.sent_at = self.state.clock()
         self.begun = False
+        self.observation = Observation(state.rollouts, entry, request.route, self.sent_at)
         self._choose_checkpoint(entry)
         self._log_placed(entry)
         self._pending_prompt = self._prompt_tokens() if handover is None else 0
@@ -220,7 +223,7 @@
         self.checkpoint = None
         if request.service.engine is None or request.head.generation is None:
             return
-        usable = state.usable(request.service, request.regions)
+        usable = state.usable_like(entry, request.service, request.regions)
         now = state.clock()
         self.checkpoint = migration.backup(
             request.service, entry, self.progress(), usable, state.load_tracker, now
@@ -264,6 +267,8 @@
             return None
         if not self.state.replicas.accepts_work(entry) or not self.state.is_within_limit(entry):
             return None
+        if not self.state.rollouts.permits(entry, self.state.clock()):
+            return None
         if not self.request.may_resend(Kind.CHECKPOINT):
             return None
         self.state.replicas.on_send(entry, self.state.clock())
@@ -284,7 +289,7 @@
             if part is None:
                 # An engine whose events came until the time was used up did not fail.
                 if not self.begun or self.request.has_time():
-                    entry.on_failure(state.clock())
+                    self._on_failure(entry)
                 return AttemptResult(Outcome.SILENT, head, b"")
             if part.head is not None:
                 head = part.head
@@ -419,6 +424,8 @@
     def _on_begun(self, now: float) -> None:
         """Record that an engine answers the request without crashing."""
         self.begun = True
+        if self.observation is not None:
+            self.observation.on_answer(now)
         self.state.poison.on_answer(self.request.traits, now)
         if self.entry is not None:
             self.state.poison.on_server_answer(self.entry.token, self.sent_at, now)
@@ -444,15 +451,17 @@
             return not_run_result(entry, head, body, now)
         if head is None or not complete:
             if self.task is None:
-                entry.on_failure(now)
+                self._on_failure(entry)
             if crashed:
                 self._log_broken(entry)
             if self.task is None and crashed and not (self.started or entry.leaving):
                 record_crash(self.request, entry)
             return AttemptResult(Outcome.BROKEN, head, b"")
         if head.status != 200 or not is_authentic(head):
-            entry.on_failure(now)
+            self._on_failure(entry)
             return AttemptResult(Outcome.FAILED, head, body)
+        if self.observation is not None:
+            self.observation.on_pace(self.event_timing.mean_gap_s, now)
         self.state.poison.on_server_answer(entry.token, self.sent_at, now)
         entry.on_answer(now - self.request.started_at, now)
         if not self.started:
@@ -464,6 +473,12 @@
         self.conn.end()
         return AttemptResult(Outcome.ANSWERED, head, b"")
 
+    def _on_failure(self, entry: Entry) -> None:
+        """Record an answer that failed, broke off or stalled, for the engine and its version."""
+        entry.on_failure(self.state.clock())
+        if self.observation is not None and not entry.leaving:
+            self.observation.on_failure()
+
     def _log_broken(self, entry: Entry) -> None:
         """Write a line on an answer that the engine ended early, with the parts of the prompt."""
         request, state = self.request, self.state
--- a/src/lovageway/forwarding/telemetry.py
+++ b/src/lovageway/forwarding/telemetry.py
@@ -39,6 +39,12 @@
     "rows_taken": ("Rows that changed what the daemon knows, by source.", ("source",)),
     "rows_unreadable": ("Rows that could not be decoded, by table.", ("table",)),
     "datagrams_rejected": ("Datagrams from other daemons that were dropped.", ("reason",)),
+    "rollout_phases": ("Phases of roll-outs that began, by service.", ("service", "phase")),
+    "rollout_answers": (
+        "Answers while a roll-out is in progress, by version and whether they were bad.",
+        ("service", "version", "bad"),
+    ),
+    "rollouts_ignored": ("Orders of roll-outs for services that are not configured.", ()),
     "pauses": ("Times at which the process stood still.", ()),
 }
 GAUGES: dict[str, str] = {
--- a/src/lovageway/platform/names.py
+++ b/src/lovageway/platform/names.py
@@ -60,6 +60,8 @@
 SERVERS_TABLE = "servers"
 CONFIG_KEY = "config"
 EVACUATE_PREFIX = "evacuate/"
+ROLLOUT_PREFIX = "rollout/"  # of keys in the tables of the operator and of the statuses
+STATUS_TABLE = "status"
 
 READY_PATH = "/readiness"
 DIRECTORY_PATH = "/resolution"
--- a/src/lovageway/platform/records.py
+++ b/src/lovageway/platform/records.py
@@ -14,6 +14,10 @@
     Repeat,
     Replica,
     RequestLimits,
+    Revision,
+    RolloutOrder,
+    RolloutPhase,
+    RolloutStatus,
     Route,
     RoutingConfig,
     Row,
@@ -31,6 +35,7 @@
 _UNREADABLE = (KeyError, TypeError, ValueError, AttributeError, OverflowError, RecursionError)
 MAX_SLOTS = 1_000_000
 MAX_TIME_MS = 1 << 53  # Unix time; a larger number is not exact as a fraction
+MAX_VERSION_CHARS = 200
 DAY_MS = 86_400_000  # no server stays cold for longer
 _STEADY_FIELDS = ("service", "address", "zone", "version", "slots", "state", "born")
 STATES = {"ready": False, "draining": True}  # for each state of a server: whether it is leaving
@@ -70,6 +75,89 @@
     return row.key.removeprefix(names.EVACUATE_PREFIX)
 
 
+def rollout_service(row: Row) -> str | None:
+    """Return the service whose roll-out a row orders, or None if it is no such row."""
+    if row.table != names.OPERATOR_TABLE or not row.key.startswith(names.ROLLOUT_PREFIX):
+        return None
+    return row.key.removeprefix(names.ROLLOUT_PREFIX)
+
+
+def rollout_order(row: Row) -> RolloutOrder:
+    """Decode the order of a roll-out.
+
+    Raises
+    ------
+    UnreadableRowError
+        The row is malformed; the message says which field has to be changed.
+    """
+    try:
+        fields = json.loads(row.value or b"")
+        service, to, duration_s = fields["service"], fields["to"], fields["duration_s"]
+    except _UNREADABLE as exc:
+        raise UnreadableRowError(f"{row.table}/{row.key}: {exc!r}") from exc
+    if service != row.key.removeprefix(names.ROLLOUT_PREFIX):
+        raise UnreadableRowError(f"{row.table}/{row.key}: service must be the one in the key")
+    if isinstance(to, int) and not isinstance(to, bool):
+        to = str(to)
+    if not isinstance(to, str) or not 0 < len(to) <= MAX_VERSION_CHARS:
+        raise UnreadableRowError(f"{row.table}/{row.key}: to must be a version")
+    is_number = isinstance(duration_s, int | float) and not isinstance(duration_s, bool)
+    if not is_number or not 0 < duration_s <= DAY_MS * MS:
+        raise UnreadableRowError(
+            f"{row.table}/{row.key}: duration_s must be more than 0 and at most a day"
+        )
+    return RolloutOrder(service, to, float(duration_s), row.revision)
+
+
+_STATES = {
+    RolloutPhase.CANARY: "in_progress",
+    RolloutPhase.SHIFT: "in_progress",
+    RolloutPhase.SWITCH: "in_progress",
+    RolloutPhase.HALTED: "rolled_back",
+    RolloutPhase.COMPLETED: "completed",
+}
+_PHASES = {
+    "in_progress": RolloutPhase.CANARY,
+    "rolled_back": RolloutPhase.HALTED,
+    "completed": RolloutPhase.COMPLETED,
+}
+
+
+def rollout_status_key(service: str) -> str:
+    """Return the key of the row that holds the status of a service's roll-out."""
+    return names.ROLLOUT_PREFIX + service
+
+
+def encode_rollout_status(status: RolloutStatus) -> bytes:
+    """Encode the status of a roll-out."""
+    order = status.order
+    fields = {
+        "service": order.service,
+        "to": order.to,
+        "state": _STATES[status.phase],
+        "duration_s": order.duration_s,
+        "began_ms": status.began_ms,
+        "order": list(order.revision),
+    }
+    return json.dumps(fields).encode()
+
+
+def rollout_status(row: Row) -> RolloutStatus | None:
+    """Decode the status of a roll-out; None if it was not written by a daemon of this system."""
+    try:
+        fields = json.loads(row.value or b"")
+        era, number = fields["order"]
+        order = RolloutOrder(
+            str(fields["service"]),
+            str(fields["to"]),
+            float(fields["duration_s"]),
+            Revision(int(era), int(number)),
+        )
+        return RolloutStatus(_PHASES[fields["state"]], order, int(fields["began_ms"]))
+    except _UNREADABLE:
+        return None
+
+
 def config(row: Row) -> RoutingConfig:
     """Decode the configuration.
 
@@ -207,6 +295,7 @@
             leaving=STATES[state],
             cold_s=float(cold_ms) * MS,
             started_at_ms=int(born),
+            version=str(fields.get("version", ""))[:MAX_VERSION_CHARS],
         )
     except _UNREADABLE as exc:
         raise UnreadableRowError(f"{row.table}/{row.key}: {exc!r}") from exc
--- a/src/lovageway/platform/settings.py
+++ b/src/lovageway/platform/settings.py
@@ -199,6 +199,9 @@
         cold_overshoot=fields.number("cold_overshoot", 1.0),
         cold_tolerance=fields.number("cold_tolerance", 0),
         directory_ttl_max_s=fields.number("ttl_max_s", 5),
+        exposure_share=fields.number("exposure_share", 0.1),
+        exposure_tolerance=fields.number("exposure_tolerance", 0),
+        rollback_s=fields.number("rollback_ms", 5000) * MS,
     )
 
 
--- a/src/lovageway/platform/store.py
+++ b/src/lovageway/platform/store.py
@@ -2,7 +2,7 @@
 
 import base64
 import json
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import Any
 from urllib.parse import urlencode
 
@@ -42,13 +42,26 @@
     return _transaction([row], [])
 
 
+def put_if(table: str, key: str, value: bytes, version: int) -> bytes:
+    """Encode the call that writes a row if it has a version; 0 means that it does not exist."""
+    row = {"table": table, "part": "", "key": key, "value": base64.b64encode(value).decode()}
+    return _transaction(
+        [row], [], [{"table": table, "part": "", "key": key, "row_version": version}]
+    )
+
+
 def remove(table: str, key: str) -> bytes:
     """Encode the call that removes one row unconditionally."""
     return _transaction([], [{"table": table, "part": "", "key": key}])
 
 
-def _transaction(write: list[dict[str, str]], removed: list[dict[str, str]]) -> bytes:
-    body = json.dumps({"expected_revision": [], "write": write, "remove": removed}).encode()
+def _transaction(
+    write: list[dict[str, str]],
+    removed: list[dict[str, str]],
+    expected: Sequence[dict[str, str | int]] = (),
+) -> bytes:
+    fields = {"expected_revision": list(expected), "write": write, "remove": removed}
+    body = json.dumps(fields).encode()
     head = "POST /rows-tx HTTP/1.1\r\nHost: store\r\nContent-Type: application/json\r\n"
     return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
 
@@ -80,7 +93,8 @@
     try:
         fields = json.loads(body)
         rows = tuple(_row(item) for item in fields["rows"])
-        return Page(rows, _version(fields), bool(fields.get("has_more")), era)
+        now_ms = max(0, int(fields.get("now_ms") or 0))
+        return Page(rows, _version(fields), bool(fields.get("has_more")), era, now_ms)
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError, RecursionError) as exc:
         raise UnreadableAnswerError(repr(exc)) from exc
 
--- a/standins/store.py
+++ b/standins/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+import time
 
 from standins.rawhttp import Listener, answer
 
@@ -37,6 +38,10 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def now_ms(self):
+        """Return the time of the store's steady clock."""
+        return round(1000 * time.monotonic())
+
     def copy(self):
         """Return a copy of all rows, to which `restore` returns."""
         return dict(self.rows), self.version
@@ -93,7 +98,7 @@
             self.put(row["table"], row["key"], base64.b64decode(row["value"]))
         for row in fields["remove"]:
             self.put(row["table"], row["key"], None)
-        return 200, {"row_version": self.version, "now_ms": 0}
+        return 200, {"row_version": self.version, "now_ms": self.now_ms()}
 
     def _row(self, table, key, version, value):
         row = {"table": table, "part": "", "key": key, "row_version": version}
@@ -113,7 +118,12 @@
     def _get(self, request):
         rows = [row for row in self._changes(request.field("table"), 0) if "value" in row]
         rows.sort(key=lambda row: row["key"])
-        return 200, {"rows": rows, "has_more": False, "row_version": self.version, "now_ms": 0}
+        return 200, {
+            "rows": rows,
+            "has_more": False,
+            "row_version": self.version,
+            "now_ms": self.now_ms(),
+        }
 
     async def _watch(self, request):
         after = int(request.field("after_revision"))
@@ -128,4 +138,4 @@
         if not self.compacted_version <= after <= self.version:
             return 410, {}
         rows = self._changes(request.field("table"), after)
-        return 200, {"rows": rows, "row_version": self.version, "now_ms": 0}
+        return 200, {"rows": rows, "row_version": self.version, "now_ms": self.now_ms()}
--- /dev/null
+++ b/tests/test_rollout_daemons.py
@@ -0,0 +1,236 @@
+"""Tests of roll-outs with daemons on sockets, a store and servers of two versions."""
+
+import asyncio
+import json
+import time
+from uuid import uuid4
+
+from standins.caller import WAIT_S
+from standins.replica import Replica
+
+from lovageway.forwarding.model import RolloutPhase
+from tests.relayworld import BOUNDS, RelayCase, route
+
+CALLS_PER_S = 60
+DURATION_S = 12.0
+
+
+class Versioned(Replica):
+    """A plain service with a version; a bad one fails the requests that `is_bad` picks."""
+
+    def __init__(self, name, version, is_bad=lambda server, request: False):
+        super().__init__(name)
+        self.version = version
+        self.is_bad = is_bad
+        self.running = 0
+        self.times = []
+
+    def entry(self, **fields):
+        return super().entry(**{"version": self.version, **fields})
+
+    async def run(self, request, attempt, writer):
+        self.times.append(time.monotonic())
+        self.running += 1
+        self.behaviour = "fail" if self.is_bad(self, request) else "ok"
+        try:
+            await asyncio.sleep(0.01)
+            return await super().run(request, attempt, writer)
+        finally:
+            self.running -= 1
+
+
+class RolloutCase(RelayCase):
+    daemons = 3
+
+    def settings(self, number):
+        bounds = BOUNDS._replace(exposure_share=0.1, exposure_tolerance=50.0, rollback_s=5.0)
+        return super().settings(number)._replace(bounds=bounds)
+
+    async def start(self, is_bad=lambda server, request: False, routes=None):
+        self.old = [Versioned(f"i-{n}", "v1") for n in (1, 2, 3)]
+        self.new = [Versioned(f"i-{n}", "v2", is_bad) for n in (4, 5, 6)]
+        await self.serve(*self.old, routes=routes or [route()])
+        self.has_two = routes is not None
+        self.statuses = []
+        self.calling = asyncio.create_task(self.call_forever())
+        self.addAsyncCleanup(self.stop_calls)
+
+    async def stop_calls(self):
+        self.calling.cancel()
+        await asyncio.gather(self.calling, return_exceptions=True)
+
+    async def call_forever(self):
+        tasks, number = set(), 0
+        while True:
+            number += 1
+            relay = self.relays[number % len(self.relays)]
+            if not relay.stopped.is_set():
+                path = "/b/x" if self.has_two and number % 5 == 0 else "/a/x"
+                tasks.add(asyncio.create_task(self.call(number % len(self.relays), path)))
+            tasks = {task for task in tasks if not task.done()}
+            await asyncio.sleep(1 / CALLS_PER_S)
+
+    async def call(self, number, path):
+        try:
+            status = (await self.ask(number, target=path, attempt=str(uuid4()))).status
+        except (OSError, EOFError):
+            return
+        self.statuses.append(status)
+
+    async def order(self, to="v2", duration_s=DURATION_S, **fields):
+        known = {"service": "svc", "to": to, "duration_s": duration_s}
+        self.ordered_at = time.monotonic()
+        self.store.put("op", "rollout/svc", {**known, **fields})
+        for server in self.new:
+            await self.start_server(server)
+
+    def status(self):
+        _, value = self.store.rows.get(("status", "rollout/svc"), (0, None))
+        return json.loads(value) if value else {}
+
+    async def ends(self, state):
+        async with asyncio.timeout(3 * DURATION_S):
+            while self.status().get("state") not in ("completed", "rolled_back"):
+                await asyncio.sleep(0.02)
+        self.ended_at = time.monotonic()
+        if self.status()["state"] != state:
+            self.fail([line for relay in self.relays for line in relay.log.of("rollout")])
+        self.assertEqual((self.status()["state"], self.status()["to"]), (state, "v2"))
+
+    def count(self, servers):
+        return sum(len(server.executions) for server in servers)
+
+    def check_exposure(self):
+        new = sum(1 for s in self.new for at in s.times if at <= self.ended_at)
+        total = new + self.count(self.old)
+        self.assertGreater(new, 0)
+        self.assertLessEqual(new, 0.1 * total + 50)
+
+    def coordinator(self):
+        leader = self.relays[0].state.members.leaders(
+            "rollout/svc", 1, self.relays[0].state.clock()
+        )[0]
+        return next(r for r in self.relays if r.cfg.ip == leader)
+
+
+class Ends(RolloutCase):
+    async def test_a_good_version_is_completed_in_time(self):
+        # Guards against an order that gets no status, and old servers that get requests after
+        # the roll-out was completed.
+        await self.start()
+        await self.order()
+        await self.ends("completed")
+        self.assertLess(self.ended_at - self.ordered_at, DURATION_S)
+        self.check_exposure()
+        await asyncio.sleep(0.1)
+        before = self.count(self.old)
+        await asyncio.sleep(0.5)
+        self.assertEqual(self.count(self.old), before)
+        self.assertGreater(self.count(self.new), 10)
+
+    async def check_bad(self, is_bad, routes=None):
+        await self.start(is_bad, routes)
+        await self.order()
+        await self.ends("rolled_back")
+        self.check_exposure()
+        await asyncio.sleep(0.3)
+        before = self.count(self.new)
+        await asyncio.sleep(1.0)
+        self.assertEqual(self.count(self.new), before)
+
+    async def test_a_version_that_fails_at_once_is_rolled_back(self):
+        # Guards against a bad version that gets its full share of the traffic.
+        await self.check_bad(lambda server, request: len(server.times) % 2 == 0)
+
+    async def test_a_version_that_fails_on_one_route_is_rolled_back(self):
+        # Guards against a fault that the answers of the other routes hide.
+        routes = [route(), route(name="b", prefix="/b/")]
+        await self.check_bad(lambda server, request: request.path.startswith("/b/"), routes)
+
+    async def test_a_version_that_turns_bad_late_is_rolled_back(self):
+        # Guards against a version that is completed for its first good answers.
+        await self.check_bad(lambda server, request: len(server.times) > 8)
+
+
+class Failures(RolloutCase):
+    async def kill_coordinator(self, phase):
+        """Close the coordinator once it announced a phase."""
+        await self.until(
+            lambda: (rollout := self.coordinator().state.rollouts.get("svc")) is not None
+            and rollout.phase is phase
+        )
+        relay = self.coordinator()
+        relay.stopped.set()
+        await relay.close()
+        return relay
+
+    async def check_takeover(self, phase):
+        await self.start()
+        await self.order()
+        async with asyncio.timeout(DURATION_S + WAIT_S):
+            await self.kill_coordinator(phase)
+        await self.ends("completed")
+        self.check_exposure()
+
+    async def test_a_coordinator_killed_at_the_first_phase_is_replaced(self):
+        # Guards against a roll-out that ends with the daemon that began it.
+        await self.check_takeover(RolloutPhase.CANARY)
+
+    async def test_a_coordinator_killed_before_the_end_is_replaced(self):
+        # Guards against a roll-out whose old servers have no work and are never stopped.
+        await self.check_takeover(RolloutPhase.SWITCH)
+
+    async def test_a_roll_out_goes_on_after_the_store_was_away(self):
+        # Guards against an order that is forgotten, or ended blindly, in an outage of 4 s.
+        await self.start()
+        await self.order(duration_s=15.0)
+        await self.until(lambda: self.status().get("state") == "in_progress")
+        self.store.mode = "busy"
+        await asyncio.sleep(4.0)
+        self.assertEqual(self.status()["state"], "in_progress")
+        self.store.mode = "ok"
+        await self.ends("completed")
+        self.check_exposure()
+
+    async def test_a_status_that_the_store_lost_is_written_again(self):
+        # Guards against servers of a bad version that stay since the store lost the verdict.
+        await self.start(lambda server, request: True)
+        await self.order()
+        await self.until(lambda: self.status().get("state") == "in_progress")
+        copied = self.store.copy()
+        await self.ends("rolled_back")
+        self.store.restore(copied)
+        self.assertEqual(self.status()["state"], "in_progress")
+        await self.ends("rolled_back")
+
+
+class Orders(RolloutCase):
+    async def test_malformed_orders_are_reported_and_ignored(self):
+        # Guards against an order that stops a daemon, or one that is taken for another.
+        await self.start()
+        log = self.relays[0].log
+        for value in (0, -1, 1e9, "soon", None, True, [5]):
+            self.store.put("op", "rollout/svc", {"service": "svc", "to": "v2", "duration_s": value})
+            seen = len(log.of("row_unreadable"))
+            await self.until(lambda seen=seen: len(log.of("row_unreadable")) > seen)
+        self.assertIsNone(self.relays[0].state.rollouts.get("svc"))
+        self.assertEqual(self.status(), {})
+
+    async def test_an_order_for_an_unknown_service_is_reported_once(self):
+        # Guards against an order that fails without a trace.
+        await self.start()
+        self.store.put("op", "rollout/x", {"service": "x", "to": "v2", "duration_s": 9})
+
+        def ignored():
+            return [line for relay in self.relays for line in relay.log.of("rollout_ignored")]
+
+        await self.until(ignored)
+        self.assertEqual(len(ignored()), 1)
+
+    async def test_a_withdrawn_order_is_rolled_back(self):
+        # Guards against new servers that stay in use after the operator took the order back.
+        await self.start()
+        await self.order()
+        await self.until(lambda: self.status().get("state") == "in_progress")
+        self.store.put("op", "rollout/svc", None)
+        await self.ends("rolled_back")
