Bound the memory of client connections: heads as parsed, requests sent ahead, unread answers

Cause: a head of 16 KB with thousands of short lines took up to 1.3 MB while it was served, a connection read 256 KB ahead, answers to requests sent ahead piled up unread, and nothing counted any of it or the number of connections.

Change: connectionmemory counts it within a sixth of the memory limit. Large heads are refused first (503, not run); a new connection takes the place of an unused one; the next request of a connection waits until the answers before it are read; 8 KB are read at once.

--- /dev/null
+++ b/src/lovageway/forwarding/connectionmemory.py
@@ -0,0 +1,131 @@
+"""Bounds the memory that all client connections take together, and their number.
+
+Load pattern: clients that nobody controls send heads of the permitted size that consist of
+thousands of short lines, which take thirty times their size once they are parsed; they send
+requests ahead and read no answer; or they open connections and send nothing. What is kept for a
+connection is counted in bytes: the connection itself, heads as parsed, requests that wait, requests
+that run.
+
+Where the memory does not suffice, clients with large heads are refused first, so that ordinary
+ones, which need a few kilobytes, go on. A new connection takes the place of one that is not in use.
+"""
+
+from collections.abc import Iterable
+from typing import Protocol
+
+from lovageway.forwarding.memorybudget import DEFAULT_MEMORY_MB
+
+SHARE = 1 / 6  # of the daemon's configured memory limit
+CONNECTION_BYTES = 12 * 1024  # a connection without a request, with its buffers
+RUNNING_BYTES = 10 * 1024  # a request in progress, beside its head and body
+REQUEST_BYTES = 512  # a request that waits for its turn on its connection
+# A header line beside its text: as received, as decoded, and as forwarded to a server.
+LINE_BYTES = 450
+LARGE_BYTES = 48 * 1024  # of one connection; ordinary requests need less
+LARGE_SHARE = 0.5  # of the memory, that connections with more than LARGE_BYTES may use
+DESCRIPTOR_SHARE = 0.6  # of the descriptors; the others are for servers, daemons and the store
+
+
+class Connection(Protocol):
+    """A client connection that may have to give way."""
+
+    last_active_at: float
+
+    @property
+    def is_in_use(self) -> bool:
+        """Return whether a request of it is being served."""
+
+    @property
+    def is_unread(self) -> bool:
+        """Return whether its client does not read the answers."""
+
+    def close_unused(self) -> None:
+        """Close it, without an answer."""
+
+
+class ConnectionMemory:
+    """Memory of all client connections of a daemon.
+
+    Parameters
+    ----------
+    memory_mb
+        The daemon's memory limit in megabytes; 0 if the settings set none.
+    open_files
+        Descriptors that the daemon may use; 0 if the settings set no limit.
+    """
+
+    def __init__(self, memory_mb: int, open_files: int) -> None:
+        self.max_bytes = int(SHARE * (memory_mb or DEFAULT_MEMORY_MB) * 1e6)
+        self.max_connections = int(DESCRIPTOR_SHARE * open_files) if open_files else 1 << 30
+        self.reserved = 0
+        self.connections = 0
+        self.refused = 0  # requests and connections
+        self.evicted = 0  # connections that were closed for new ones
+
+    def reserve(self, size: int, held: int) -> bool:
+        """Reserve memory for a connection.
+
+        Parameters
+        ----------
+        size, held
+            Bytes that the connection needs, and those that it has.
+
+        Returns
+        -------
+        bool
+            Whether there was enough memory; if not, nothing was reserved.
+        """
+        share = LARGE_SHARE if held + size > LARGE_BYTES else 1.0
+        if self.reserved + size > share * self.max_bytes:
+            self.refused += 1
+            return False
+        self.reserved += size
+        return True
+
+    def release(self, size: int) -> None:
+        """Release reserved memory."""
+        self.reserved -= size
+
+    def admit(self, others: Iterable[Connection]) -> bool:
+        """Reserve memory for a new connection, in place of another one if necessary.
+
+        Returns
+        -------
+        bool
+            False if all others are in use; then nothing was reserved.
+        """
+        if not self._has_place():
+            unused = [conn for conn in others if not conn.is_in_use]
+            if not unused:
+                self.refused += 1
+                return False
+            self.evicted += 1
+            # It counts until its end has been noticed, in the next pass of the event loop.
+            min(unused, key=lambda conn: (not conn.is_unread, conn.last_active_at)).close_unused()
+        self.connections += 1
+        self.reserved += CONNECTION_BYTES
+        return True
+
+    def _has_place(self) -> bool:
+        return (
+            self.connections < self.max_connections
+            and self.reserved + CONNECTION_BYTES <= self.max_bytes
+        )
+
+    def leave(self) -> None:
+        """Release the memory of a connection that was admitted."""
+        self.connections -= 1
+        self.reserved -= CONNECTION_BYTES
+
+
+def head_bytes(size: int, lines: int) -> int:
+    """Return the memory that a request takes until it is served.
+
+    Parameters
+    ----------
+    size
+        Size of its head in bytes.
+    lines
+        Number of its header lines.
+    """
+    return REQUEST_BYTES + 3 * size + lines * LINE_BYTES
--- a/src/lovageway/forwarding/connections.py
+++ b/src/lovageway/forwarding/connections.py
@@ -7,6 +7,7 @@
 
 import httptools
 
+from lovageway.forwarding.connectionmemory import LINE_BYTES, RUNNING_BYTES, head_bytes
 from lovageway.forwarding.inputturns import InputTurns, SlicedInput, set_reading
 from lovageway.forwarding.model import RequestLimits
 
@@ -14,11 +15,11 @@
 LINGER_S = 1.0  # time for which input is discarded before a connection with unread input is closed
 IDLE_CLOSE_DELAY_S = 0.05  # lets input that arrived together with the idle timeout be read first
 DEFAULT_LIMITS = RequestLimits(16384, 4 << 20, 3.0, 15.0)
-WRITE_HIGH_WATER = 64 * 1024  # bytes of answers buffered for a client
+WRITE_HIGH_WATER = 16 * 1024  # bytes of answers buffered for a client
 WRITE_STALL_TIMEOUT_S = 10.0  # a client that reads nothing for this long is disconnected
 # A slower body is rejected with 408; the header timeout is allowed in addition.
 MIN_BODY_BYTES_PER_S = 1024
-BODY_RETRY_AFTER_S = 0.5  # Retry-After of a request without memory for its body
+MEMORY_RETRY_AFTER_S = 0.5  # Retry-After of a request without memory for its head or body
 REASONS = {
     400: "Bad Request",
     401: "Unauthorized",
@@ -46,6 +47,7 @@
     http_1_1: bool
     keep_alive: bool
     arrived_at: float
+    memory: int = 0  # reserved for its head, in bytes
 
 
 class Handler(Protocol):
@@ -66,6 +68,15 @@
             Whether there was enough memory; if not, nothing was reserved.
         """
 
+    def reserve_memory(self, size: int, held: int) -> bool:
+        """Reserve memory for a connection that holds some; a negative size releases it.
+
+        Returns
+        -------
+        bool
+            Whether there was enough memory; if not, nothing was reserved.
+        """
+
     def handle(self, conn: "ClientConnection", inbound: Inbound) -> None:
         """Start to serve a request."""
 
@@ -79,12 +90,13 @@
         """Record a new connection."""
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """Connection of a client; its requests are served one after another."""
 
     def __init__(self, handler: Handler, clock: Callable[[], float], turns: InputTurns) -> None:
         self._handler = handler
         self._clock = clock
+        self._turns = turns
         self._input = SlicedInput(
             turns, self._feed, lambda reading: set_reading(self._transport, reading)
         )
@@ -94,6 +106,8 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._body = bytearray()
         self._reserved_bytes = 0  # of the bodies on this connection
+        self._memory = 0  # reserved for heads, waiting and running requests, in bytes
+        self._head_memory = 0  # the part of the head that is being read
         self._head_size = 0
         self._trailer_size = 0
         self._unparsed_bytes = 0  # received since the last parser callback
@@ -122,6 +136,14 @@
         self.peer = str(transport.get_extra_info("peername"))
         self._handler.on_connect(self)
 
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return the buffer to read into: a small one, as input may wait for a long time."""
+        return self._turns.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take what was read."""
+        self.data_received(bytes(memoryview(self._turns.read_buffer)[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Parse input and start the next request if none is being served."""
         if not self._discarding:
@@ -159,6 +181,7 @@
         self._writable.set()
         self._queue.clear()
         self._release_bodies()
+        self._release_memory(self._memory)
         self._handler.on_disconnect(self)
 
     def pause_writing(self) -> None:
@@ -170,6 +193,7 @@
         """Record that the write buffer has drained."""
         self._write_blocked_at = None
         self._writable.set()
+        self._serve_next()
 
     # Parser callbacks.
 
@@ -188,7 +212,10 @@
         """Append a header; trailers are limited in size and otherwise ignored."""
         self._unparsed_bytes = 0
         if not self._head_done:
-            self._headers.append((name, value))
+            size = LINE_BYTES + len(name) + len(value)
+            if self._reserve_memory(size):
+                self._head_memory += size
+                self._headers.append((name, value))
             return
         self._trailer_size += len(name) + len(value)
         if self._trailer_size > self._handler.limits().header_bytes:
@@ -218,8 +245,7 @@
         if self._discarding:
             return
         if not self._handler.reserve_body(len(body)):
-            retry = [("Retry-After", f"{BODY_RETRY_AFTER_S}")]
-            self._reject(503, "no memory for another body; come back", retry)
+            self._reject_for_memory("body")
             return
         self._reserved_bytes += len(body)
         self._body += body
@@ -232,6 +258,11 @@
         self._head_size = self._unparsed_bytes = 0
         if self._discarding:
             return
+        size = sum(len(n) + len(v) for n, v in self._headers) + len(self._url)
+        memory = max(self._head_memory, head_bytes(size, len(self._headers)))
+        if not self._reserve_memory(memory - self._head_memory):
+            return
+        self._head_memory = 0
         version = self._parser.get_http_version()
         self._queue.append(
             Inbound(
@@ -242,6 +273,7 @@
                 http_1_1=version == "1.1",
                 keep_alive=self._parser.should_keep_alive(),
                 arrived_at=self._message_started_at,
+                memory=memory,
             )
         )
         self._headers, self._body = [], bytearray()
@@ -249,8 +281,13 @@
             self._input.hold(True)
 
     def _serve_next(self) -> None:
-        if self.current is None and self._queue and not self.closed and not self._close_after:
+        """Serve the next request, unless the client does not read the answers before it."""
+        if self.current is not None or not self._queue or self.closed or self._close_after:
+            return
+        if self._writable.is_set():
             self.current = self._queue.popleft()
+            self._memory += RUNNING_BYTES
+            self._handler.reserve_memory(RUNNING_BYTES, 0)
             self._input.hold(False)
             self._handler.handle(self, self.current)
 
@@ -298,6 +335,8 @@
 
     def finish(self) -> None:
         """Continue with the next request after a complete answer."""
+        if self.current is not None and not self.closed:
+            self._release_memory(self.current.memory + RUNNING_BYTES)
         self.current = None
         if not self._queue and not self._in_message:
             self._release_bodies()
@@ -307,6 +346,36 @@
         else:
             asyncio.get_running_loop().call_soon(self._serve_next)
 
+    # Memory.
+
+    def _reserve_memory(self, size: int) -> bool:
+        """Reserve memory for a head; reject the request if there is none."""
+        if self._discarding:
+            return False
+        if not self._handler.reserve_memory(size, self._memory):
+            self._reject_for_memory("head")
+            return False
+        self._memory += size
+        return True
+
+    def _release_memory(self, size: int) -> None:
+        self._memory -= size
+        self._handler.reserve_memory(-size, 0)
+
+    @property
+    def is_in_use(self) -> bool:
+        """Return whether a request is being served."""
+        return self.current is not None
+
+    @property
+    def is_unread(self) -> bool:
+        """Return whether the client does not read the answers."""
+        return not self._writable.is_set()
+
+    def close_unused(self) -> None:
+        """Close the connection for another one; its client gets no answer."""
+        self.abort()
+
     def _release_bodies(self) -> None:
         self._handler.reserve_body(-self._reserved_bytes)
         self._reserved_bytes = 0
@@ -335,7 +404,10 @@
         self._input.discard()
         self._handler.on_rejected(status, reason)
         self._queue.clear()
-        self._body = bytearray()
+        self._headers, self._body = [], bytearray()
+        running = self.current.memory + RUNNING_BYTES if self.current is not None else 0
+        self._release_memory(self._memory - running)
+        self._head_memory = 0
         if self.current is not None:
             self._close_after = True
             return
@@ -345,6 +417,11 @@
         self._release_bodies()
         self._linger()
 
+    def _reject_for_memory(self, part: str) -> None:
+        """Reject a request for whose head or body there is no memory; it has not run."""
+        retry = [("Retry-After", f"{MEMORY_RETRY_AFTER_S}")]
+        self._reject(503, f"no memory for another {part}; come back", retry)
+
     def _linger(self) -> None:
         """Close the connection, after LINGER_S if input may be pending.
 
--- a/src/lovageway/forwarding/inputturns.py
+++ b/src/lovageway/forwarding/inputturns.py
@@ -11,6 +11,8 @@
 from collections.abc import Callable
 
 SLICE_BYTES = 4096
+# Read from a client at once. A connection whose requests wait keeps as much unparsed.
+READ_BYTES = 8192
 TURN_S = 0.002
 MAX_TURN_BYTES = 64 * 1024  # also where the clock does not advance while the process works
 
@@ -20,6 +22,7 @@
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
+        self.read_buffer = bytearray(READ_BYTES)  # shared: it is emptied as soon as it is filled
         self._waiting: deque[Callable[[], None]] = deque()
         self._scheduled = False
 
--- a/src/lovageway/forwarding/listeners.py
+++ b/src/lovageway/forwarding/listeners.py
@@ -35,13 +35,29 @@
         self.state.body_budget.release(-BODY_COPIES * size)
         return True
 
+    def reserve_memory(self, size: int, held: int) -> bool:
+        """Reserve memory for a connection that holds some; a negative size releases it."""
+        memory = self.state.connection_memory
+        if size >= 0:
+            return memory.reserve(size, held)
+        memory.release(-size)
+        return True
+
     def on_connect(self, conn: ClientConnection) -> None:
-        """Add a new connection."""
-        self.conns.add(conn)
+        """Add a new connection, or close it if there is no memory for it."""
+        if self.state.connection_memory.admit(self.state.connections):
+            self.conns.add(conn)
+            self.state.connections.add(conn)
+        else:
+            self.state.log("connection_refused", listener=self.name, peer=conn.peer)
+            conn.abort()
 
     def on_disconnect(self, conn: ClientConnection) -> None:
         """Remove a closed connection."""
-        self.conns.discard(conn)
+        if conn in self.conns:
+            self.conns.remove(conn)
+            self.state.connections.discard(conn)
+            self.state.connection_memory.leave()
 
     def on_rejected(self, status: int, reason: str) -> None:
         """Count and log a request that violated the protocol or a limit."""
--- a/src/lovageway/forwarding/state.py
+++ b/src/lovageway/forwarding/state.py
@@ -8,6 +8,7 @@
 
 from lovageway.forwarding import fleetshare, memorybudget, placement, resend, statements
 from lovageway.forwarding.admissionqueue import AdmissionQueue
+from lovageway.forwarding.connectionmemory import Connection, ConnectionMemory
 from lovageway.forwarding.eventlog import EventLog
 from lovageway.forwarding.inputturns import InputTurns
 from lovageway.forwarding.lifecycle import Lifecycle
@@ -92,6 +93,8 @@
         self.answer_budget = MemoryBudget(
             memorybudget.budget_bytes(cfg.memory_mb, memorybudget.ANSWER_SHARE)
         )
+        self.connection_memory = ConnectionMemory(cfg.memory_mb, cfg.open_files)
+        self.connections: set[Connection] = set()  # of clients, at all listeners
         self.turns = InputTurns(clock)
         self.pool = Pool(heads.answer, clock, self.turns)
         self.routes: RouteTable | None = None
@@ -256,5 +259,12 @@
             "rollouts": self.rollouts.describe(now),
             "suspects": [held._asdict() for held in self.poison.held(now)],
             "waiting": len(self.admission_queue),
+            "connections": {
+                "open": self.connection_memory.connections,
+                "bytes": self.connection_memory.reserved,
+                "max_bytes": self.connection_memory.max_bytes,
+                "refused": self.connection_memory.refused,
+                "evicted": self.connection_memory.evicted,
+            },
             "streams": len(self.streams),
         }
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -3,6 +3,9 @@
 import asyncio
 import unittest
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from lovageway.forwarding.connections import IDLE_CLOSE_DELAY_S, ClientConnection
 from lovageway.forwarding.inputturns import InputTurns
 from lovageway.forwarding.model import RequestLimits
@@ -46,6 +49,7 @@
         self.requests = []
         self.is_closing = False
         self.room = 10_000
+        self.memory = 1 << 20  # for connections, in bytes
 
     def limits(self):
         return LIMITS
@@ -59,6 +63,12 @@
         self.room -= size
         return True
 
+    def reserve_memory(self, size, held):
+        if size > self.memory:
+            return False
+        self.memory -= size
+        return True
+
     def handle(self, conn, inbound):
         self.requests.append(inbound)
 
@@ -242,3 +252,67 @@
         self.assertEqual(self.transport.written, b"")
         self.conn.data_received(b"\r\n" * 400)
         self.assertIn(b"400 Bad Request", self.transport.written)
+
+
+class Memory(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.handler = Handler()
+        self.memory = self.handler.memory
+        self.transport = Transport()
+        self.conn = ClientConnection(self.handler, lambda: 0.0, InputTurns(lambda: 0.0))
+        self.conn.connection_made(self.transport)
+
+    async def read(self, data):
+        self.conn.data_received(data)
+        await asyncio.sleep(0)
+
+    async def test_the_next_request_waits_until_the_answers_are_read(self):
+        # Guards against answers that pile up for a client that reads none of them.
+        await self.read(REQUEST * 3)
+        self.conn.pause_writing()
+        self.conn.respond(200, [], b"x")
+        await asyncio.sleep(0)
+        self.assertEqual(len(self.handler.requests), 1)
+        self.assertTrue(self.conn.is_unread)
+        self.conn.resume_writing()
+        self.assertEqual(len(self.handler.requests), 2)
+
+    async def test_a_head_without_memory_is_refused_as_not_run(self):
+        # Guards against heads that take more memory than the machine has, and a refusal that
+        # promises nothing or forgets to say when to come back.
+        self.handler.memory = 2000
+        await self.read(b"GET / HTTP/1.1\r\n" + b"a:b\r\n" * 20)
+        self.assertIn(b"HTTP/1.1 503", self.transport.written)
+        self.assertIn(b"Retry-After", self.transport.written)
+        self.assertEqual(self.handler.requests, [])
+
+    @settings(max_examples=200, deadline=None, derandomize=True)
+    @given(
+        st.lists(st.sampled_from(["read", "part", "odd", "answer", "poor", "late"]), max_size=12)
+    )
+    def test_all_memory_is_released_at_the_end(self, steps):
+        # Guards against memory that stays reserved, so that a daemon refuses everybody in the end.
+        asyncio.run(self.play(steps))
+
+    async def play(self, steps):
+        self.setUp()
+        taken = 0
+        for step in steps:
+            match step:
+                case "read":
+                    await self.read(REQUEST * 2)
+                case "part":
+                    await self.read(b"GET / HTTP/1.1\r\nHost: h\r\n")
+                case "odd":
+                    await self.read(b"\x00\r\n\r\n")
+                case "answer" if self.conn.current is not None:
+                    self.conn.respond(200, [], b"")
+                    await asyncio.sleep(0)
+                case "poor":
+                    taken, self.handler.memory = taken + self.handler.memory, 0
+                case "late":
+                    self.conn.check_timeouts(99.0, close_idle=False)
+        self.conn.connection_lost(None)
+        if self.conn.current is not None:
+            self.conn.respond(200, [], b"")  # its answer comes after the connection has ended
+        self.assertEqual(self.handler.memory + taken, self.memory)
