Take an answer whose status is none of the protocol for broken, at once

Cause: a status below 200 counted as an interim answer, 000 to 099 included, so the client waited for a final one until its time was over (504); 600 and above were passed on to it.

Change: a status that is not from 100 to 599 ends the attempt as broken, in calls, streams, calls to engines and the store alike; a call that may be repeated goes to another server.

--- a/src/lovageway/forwarding/outbound.py
+++ b/src/lovageway/forwarding/outbound.py
@@ -25,6 +25,8 @@
 KEEP_ALIVE_SHARE = 0.7  # share of the server's Keep-Alive timeout for which it is reused
 MAX_HEAD_BYTES = 32 * 1024  # of a head, of trailers or of other data around parts of a body
 MAX_HEADERS = 200
+# Statuses of the protocol; any other answer is none. Lower ones are interim answers.
+FIRST_STATUS, FIRST_FINAL_STATUS, LAST_STATUS = 100, 200, 599
 MAX_INTERIM_ANSWERS = 8  # answers with status 1xx before the final answer
 MAX_ATTEMPT_IDS = 64  # remembered for each connection
 SEPARATE_BODY_BYTES = 64 * 1024  # a larger body is written without a copy that includes its head
@@ -143,7 +145,9 @@
         if exchange is None:
             self._skipping = True
             return
-        if status < 200:
+        if not FIRST_STATUS <= status <= LAST_STATUS:
+            raise BadAnswerError("status")
+        if status < FIRST_FINAL_STATUS:
             self._skipping = True
             self._interim_answers += 1
             if self._interim_answers > MAX_INTERIM_ANSWERS:
