Obey what servers say of themselves: that they leave, when to come back, how slow they are

Cause: Server-Leaving and Retry-After of a 503 were read by nobody, and a load with a fourth figure counted as absent.

A back-off holds for its daemon. The slowness that a server reports ages with a half-life of 1 s; a figure that cannot be is dropped and counted, the other three hold.

--- a/src/lovageway/forwarding/attempt.py
+++ b/src/lovageway/forwarding/attempt.py
@@ -153,6 +153,14 @@
     change = state.statements.on_answer(entry.token, head.statement, sent_at, state.clock())
     if change is not None:
         state.announce_statement(entry, change)
+    if head.statement.leaving:
+        state.announce_leaving(entry)
+    if head.status == 503 and head.retry_after_s is not None:
+        entry.on_back_off(head.retry_after_s, state.clock())
+    if head.load_unreadable:
+        state.telemetry.add("loads_unreadable")
+    if head.load is not None:
+        entry.on_load(head.load, state.clock())
 
 
 def is_authentic(head: AnswerHead) -> bool:
--- a/src/lovageway/forwarding/gossip.py
+++ b/src/lovageway/forwarding/gossip.py
@@ -24,7 +24,7 @@
 # Kinds of datagrams. The kind is the first field of each.
 HEARTBEAT, LEAVING_RUNS, MIGRATION_DONE, ROWS, LOAD_ADDED, MIGRATION_STARTED = 1, 2, 3, 4, 5, 6
 POISON, STATEMENTS, ROWS_OF_ERA = 7, 8, 9
-ROLLOUTS, ROLLOUT_REPORT = 10, 11
+ROLLOUTS, ROLLOUT_REPORT, LEAVING = 10, 11, 12
 MAX_DATAGRAM_BYTES = 8192
 # At least this many servers of each other region are described, even if the total then exceeds
 # MAX_SERVERS.
@@ -123,6 +123,13 @@
     reports: list[Report]
 
 
+class Leaving(NamedTuple):
+    """Servers that lately said of themselves that they leave."""
+
+    ip: str  # of the daemon
+    servers: list[bytes]  # tokens
+
+
 class Rollouts(NamedTuple):
     """What a daemon heard of roll-outs."""
 
@@ -153,6 +160,7 @@
     | LoadAdded
     | Poison
     | Statements
+    | Leaving
     | Rollouts
     | RolloutReport
 )
@@ -215,6 +223,11 @@
     return bytes(msgpack.packb([STATEMENTS, message.ip, [list(r) for r in message.reports]]))
 
 
+@encode.register
+def _(message: Leaving) -> bytes:
+    return bytes(msgpack.packb([LEAVING, *message]))
+
+
 @encode.register
 def _(message: Rollouts) -> bytes:
     fields = [wire.announcement_fields(item) for item in message.announcements]
@@ -269,6 +282,9 @@
         if kind == STATEMENTS:
             ip, reports = fields
             return Statements(str(ip), [_report(item) for item in reports])
+        if kind == LEAVING:
+            ip, servers = fields
+            return Leaving(str(ip), [_bytes(server) for server in servers])
         if kind == ROLLOUTS:
             ip, announcements = fields
             return Rollouts(str(ip), [wire.announcement(item) for item in announcements])
@@ -430,7 +446,15 @@
     match message:
         case Heartbeat():
             return message.facts.ip
-        case LoadAdded() | LeavingRuns() | Poison() | Statements() | Rollouts() | RolloutReport():
+        case (
+            LoadAdded()
+            | LeavingRuns()
+            | Poison()
+            | Statements()
+            | Leaving()
+            | Rollouts()
+            | RolloutReport()
+        ):
             return message.ip
     return None
 
--- a/src/lovageway/forwarding/members.py
+++ b/src/lovageway/forwarding/members.py
@@ -236,6 +236,19 @@
             ready.append(self.own.ip)
         return heapq.nsmallest(count, ready, key=lambda ip: sort_key(key + ip))
 
+    def position(self) -> int:
+        """Return how many daemons come before this one in the order of their addresses."""
+        known = {*self._contacts, *self._others} - {self.own.ip}
+        return sum(ip < self.own.ip for ip in known)
+
+    def first_without_store(self, key: str, now: float) -> str:
+        """Return the first daemon of this region, in the order of a key, that lost the store.
+
+        This daemon has lost it, too.
+        """
+        others = [ip for ip in self.in_own_region(now) if self._others[ip].store_lost]
+        return min([self.own.ip, *others], key=lambda ip: sort_key(key + ip))
+
     def describe(self, now: float) -> list[dict[str, object]]:
         """Return the live daemons for the operators' dump."""
         return [
--- a/src/lovageway/forwarding/model.py
+++ b/src/lovageway/forwarding/model.py
@@ -190,10 +190,31 @@
         limit, or one that cannot be read.
     readable
         False if the server names a limit that cannot be read: then nothing is known of its limit.
+    leaving
+        Whether the server says that it leaves.
     """
 
     limit_per_s: float | None = None
     readable: bool = True
+    leaving: bool = False
+
+
+class ServerLoad(NamedTuple):
+    """The load that a server reports in an answer.
+
+    Attributes
+    ----------
+    running, waiting, slots
+        Numbers of requests, and of those that it processes at once.
+    slowness
+        How long work takes on its machine now, as a multiple of the usual time; None if the server
+        does not say so, or says what cannot be.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowness: float | None = None
 
 
 class AnswerHead(NamedTuple):
@@ -206,7 +227,8 @@
     encoded: bool  # the body has a content coding
     not_run: bool
     server_id: str | None
-    load: tuple[int, int, int] | None  # running, waiting, slots
+    load: ServerLoad | None
+    load_unreadable: bool  # whether a figure of the load could not be read
     statement: Statement
     retry_after_s: float | None
     keep_alive_s: float | None
--- a/src/lovageway/forwarding/peers.py
+++ b/src/lovageway/forwarding/peers.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from lovageway.forwarding import gossip, watchers
+from lovageway.forwarding.leaving import LeavingSpread
 from lovageway.forwarding.load import Load
 from lovageway.forwarding.members import READY, STARTING
 from lovageway.forwarding.migration import LeavingRun
@@ -91,6 +92,9 @@
         self._row_handler = RowHandler(
             state, self.send_heartbeats, self._send_leaving_runs, self._rollout_spread.on_row
         )
+        self._leaving_spread = LeavingSpread(
+            state, self._gossip, self._port, self._row_handler.on_server_leaving
+        )
 
     async def start(self) -> None:
         """Open the sockets between daemons and start to watch the store."""
@@ -109,6 +113,7 @@
         self._poison_spread.close()
         self._statement_spread.close()
         self._rollout_spread.close()
+        self._leaving_spread.close()
         self._gossip.close()
         if self._totals_timer is not None:
             self._totals_timer.cancel()
@@ -165,6 +170,7 @@
         self.update_watching(now)
         self._poison_spread.tick(now)
         self._rollout_spread.tick(now)
+        self._leaving_spread.tick(now, store_lost=self._store_lost())
         self._state.statements.forget(now)
 
     # Rows.
@@ -307,6 +313,7 @@
         self._poison_spread.send_to(to.reports, now)
         self._statement_spread.send_to(to.reports, now)
         self._rollout_spread.send_to(to.reports, now)
+        self._leaving_spread.send_to(to.reports, now)
         if not to.region and not to.other_regions:
             return
         self._totals_sent += 1
@@ -325,6 +332,7 @@
         self._poison_spread.send_to(group, now)
         self._statement_spread.send_to(group, now)
         self._rollout_spread.send_to(group, now)
+        self._leaving_spread.send_to(group, now)
         total, daemons = state.load_tracker.total(now), state.load_tracker.daemons()
         own_region = set(state.members.in_own_region(now))
         for ip in group:
@@ -389,6 +397,8 @@
                 self._poison_spread.on_peer(news)
             case gossip.Statements():
                 self._statement_spread.on_peer(message)
+            case gossip.Leaving():
+                self._leaving_spread.on_peer(message)
             case gossip.Rollouts():
                 self._rollout_spread.on_announcements(message)
             case Report():
--- a/src/lovageway/forwarding/replicas.py
+++ b/src/lovageway/forwarding/replicas.py
@@ -5,7 +5,7 @@
 
 from lovageway.forwarding import fleetshare, statements
 from lovageway.forwarding.fleetshare import Bound, SendLog
-from lovageway.forwarding.model import Bounds, Replica, Service
+from lovageway.forwarding.model import Bounds, Replica, ServerLoad, Service
 from lovageway.forwarding.statements import Statements
 from lovageway.forwarding.traits import server_token
 
@@ -13,6 +13,9 @@
 EXPIRY_GRACE_S = 2.0
 MIN_SUSPENSION_S = 0.5
 MAX_SUSPENSION_S = 4.0
+SLOWNESS_HALF_LIFE_S = 1.0  # of what a server said of its slowness
+SLOWNESS_GAIN = 0.4  # weight of the newest figure
+MAX_BACK_OFF_S = 30.0  # a server that asks for more is tried again after this time
 FAILURE_HALF_LIFE_S = 4.0
 LATENCY_GAIN = 0.2  # weight of the newest answer in the moving average
 COLD_SAFETY_FACTOR = 0.8  # used part of the bound on requests to a cold server
@@ -25,8 +28,11 @@
         self.replica = replica
         # Identifies this start of the server in datagrams.
         self.token = server_token(replica.id, replica.started_at_ms)
+        self.known_at = now
         self.cold_until = now + replica.cold_s
         self.leaving_since: float | None = now if replica.leaving else None
+        self.said_leaving_at: float | None = None  # when it said so in an answer
+        self.back_off_until = 0.0  # until then it asked this daemon for no requests
         self.removed_at: float | None = None
         self.removal_due_at: float | None = None
         self.suspended_until = 0.0
@@ -34,6 +40,8 @@
         self.latency_s = 0.0
         self.sends = SendLog()  # while a bound on the requests to this server holds
         self.held_off = 0  # times that it was passed over for the limit that it named
+        self._slowness = 1.0
+        self._slowness_at = now
         self._failures = 0.0
         self._failures_at = now
 
@@ -45,7 +53,11 @@
     @property
     def leaving(self) -> bool:
         """Return whether the server announced that it leaves, or its entry was removed."""
-        return self.leaving_since is not None or self.removed_at is not None
+        return (
+            self.leaving_since is not None
+            or self.said_leaving_at is not None
+            or self.removed_at is not None
+        )
 
     def failures(self, now: float) -> float:
         """Return the number of recent failures, decayed with a half-life of FAILURE_HALF_LIFE_S."""
@@ -66,6 +78,30 @@
         old = self.latency_s or latency_s
         self.latency_s = old + LATENCY_GAIN * (latency_s - old)
 
+    def on_load(self, load: ServerLoad, now: float) -> None:
+        """Record the load that the server reports."""
+        if load.slowness is None:
+            return
+        kept = float(0.5 ** ((now - self._slowness_at) / SLOWNESS_HALF_LIFE_S))
+        old = 1.0 + kept * (self._slowness - 1.0)
+        self._slowness = old + SLOWNESS_GAIN * (load.slowness - old)
+        self._slowness_at = now
+
+    def slowness(self, now: float) -> float:
+        """Return how long work takes there now, as a multiple of the usual time.
+
+        The figure changes many times a second; what was heard a while ago counts as usual.
+        """
+        if self._slowness == 1.0:
+            return 1.0
+        kept = float(0.5 ** ((now - self._slowness_at) / SLOWNESS_HALF_LIFE_S))
+        return 1.0 + kept * (self._slowness - 1.0)
+
+    def on_back_off(self, seconds: float, now: float) -> None:
+        """Send the server nothing for a time, as it asked in a refusal."""
+        until = now + min(MAX_BACK_OFF_S, seconds)
+        self.back_off_until = max(self.back_off_until, until)
+
     def on_unreachable(self, now: float) -> None:
         """Suspend the server, twice as long each time, after a connection could not be opened."""
         self.suspended_until = now + min(MAX_SUSPENSION_S, MIN_SUSPENSION_S * 2**self.suspensions)
@@ -116,6 +152,12 @@
             old.cold_until = max(old.cold_until, now + replica.cold_s)
         return Change(old, replica.leaving and not was_leaving)
 
+    def on_said_leaving(self, entry: Entry, now: float) -> Change:
+        """Record that a server says that it leaves; this holds until it starts again."""
+        was_leaving = entry.leaving
+        entry.said_leaving_at = now
+        return Change(entry, not was_leaving)
+
     def on_removed(self, server: str, now: float, *, expired: bool) -> Change | None:
         """Apply the removal of an entry.
 
@@ -177,7 +219,7 @@
             entry
             for entry in self._entries.values()
             if entry.replica.service == service.name
-            and entry.suspended_until <= now
+            and max(entry.suspended_until, entry.back_off_until) <= now
             and self._may_serve(entry, service.name, regions)
             and (
                 (now >= entry.cold_until and not limited)
--- a/src/lovageway/forwarding/state.py
+++ b/src/lovageway/forwarding/state.py
@@ -85,6 +85,7 @@
         self.announce_statement: Callable[[Entry, StatementChange], None] = (
             lambda entry, change: None
         )
+        self.announce_leaving: Callable[[Entry], None] = lambda entry: None
         self.announce_load: Callable[[dict[str, Load], str], None] = lambda loads, region: None
         self.admission_queue: AdmissionQueue[Entry] = AdmissionQueue()
         self.body_budget = MemoryBudget(
--- a/src/lovageway/forwarding/telemetry.py
+++ b/src/lovageway/forwarding/telemetry.py
@@ -39,6 +39,9 @@
     "rows_taken": ("Rows that changed what the daemon knows, by source.", ("source",)),
     "rows_unreadable": ("Rows that could not be decoded, by table.", ("table",)),
     "datagrams_rejected": ("Datagrams from other daemons that were dropped.", ("reason",)),
+    "leaving_notices": ("Servers that said that they leave, by who heard it.", ("source",)),
+    "server_probes": ("Questions to engines while the store was away.", ("result",)),
+    "loads_unreadable": ("Loads in answers of servers of which a figure could not be read.", ()),
     "rollout_phases": ("Phases of roll-outs that began, by service.", ("service", "phase")),
     "rollout_answers": (
         "Answers while a roll-out is in progress, by version and whether they were bad.",
--- a/src/lovageway/platform/engines.py
+++ b/src/lovageway/platform/engines.py
@@ -3,7 +3,7 @@
 import json
 
 from lovageway.forwarding.model import Address, MigrationResult
-from lovageway.platform import names
+from lovageway.platform import names, records
 
 
 def migrate(attempt_id: str, to: Address, *, last: bool) -> bytes:
@@ -37,3 +37,18 @@
 def free_kv_cache(handle: str) -> bytes:
     """Encode the call that frees a copied KV cache on both engines."""
     return f"DELETE {names.KV_HANDLE_PATH}{handle} HTTP/1.1\r\nHost: engine\r\n\r\n".encode()
+
+
+def report() -> bytes:
+    """Encode the question to an engine for its report."""
+    return f"GET {names.REPORT_PATH} HTTP/1.1\r\nHost: engine\r\n\r\n".encode()
+
+
+def says_leaving(body: bytes) -> bool:
+    """Return whether an engine's report says that it leaves; False if it cannot be read."""
+    try:
+        fields = json.loads(body)
+        is_leaving = records.STATES.get(fields.get("state"), False)
+        return is_leaving or fields.get("leaves_ms") is not None
+    except (ValueError, TypeError, AttributeError, RecursionError):
+        return False
--- a/src/lovageway/platform/heads.py
+++ b/src/lovageway/platform/heads.py
@@ -10,12 +10,22 @@
 from typing import NamedTuple
 from urllib.parse import parse_qs
 
-from lovageway.forwarding.model import Address, AnswerHead, Generation, RequestHead, Statement
+from lovageway.forwarding.model import (
+    Address,
+    AnswerHead,
+    Generation,
+    RequestHead,
+    ServerLoad,
+    Statement,
+)
 from lovageway.platform import names
 from lovageway.platform.settings import MS
 
 Headers = Sequence[tuple[str, str]]
 _DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+_COUNT = re.compile(r"[0-9]{1,9}")
+# A server that works outside this range of its usual speed would not answer any more.
+MIN_SLOWNESS_PERCENT, MAX_SLOWNESS_PERCENT = 1.0, 10_000.0
 
 
 class BadHeadError(ValueError):
@@ -185,7 +195,7 @@
 def answer(status: int, reason: str, headers: Headers) -> AnswerHead:
     """Decode the head of a backend server's answer; malformed optional headers count as absent."""
     values = {key.lower(): value.strip() for key, value in headers}
-    load = values.get(names.SERVER_LOAD, "").split(",")
+    load, load_unreadable = _load(values.get(names.SERVER_LOAD))
     keep_alive = dict(part.strip().partition("=")[::2] for part in _keep_alive(values))
     return AnswerHead(
         status=status,
@@ -195,7 +205,8 @@
         encoded=values.get("content-encoding", "identity").lower() != "identity",
         not_run=names.NOT_RUN in values or status == 421,
         server_id=values.get(names.SERVER_ID),
-        load=_load(load),
+        load=load,
+        load_unreadable=load_unreadable,
         statement=_statement(headers),
         retry_after_s=_number(values.get(names.RETRY_AFTER)),
         keep_alive_s=_number(keep_alive.get("timeout")),
@@ -206,21 +217,37 @@
 def _statement(headers: Headers) -> Statement:
     """Return what a server says of itself; of several limits in one answer, the lowest holds."""
     values = [value.strip() for key, value in headers if key.lower() == names.SERVER_LIMIT]
+    leaving = any(
+        key.lower() == names.SERVER_LEAVING and value.strip() == "1" for key, value in headers
+    )
     if not all(_DECIMAL.fullmatch(value) for value in values):
-        return Statement(readable=False)
-    return Statement(min((float(value) for value in values), default=None))
+        return Statement(readable=False, leaving=leaving)
+    return Statement(min((float(value) for value in values), default=None), leaving=leaving)
 
 
 def _keep_alive(values: dict[str, str]) -> list[str]:
     return values.get("keep-alive", "").split(",")
 
 
-def _load(parts: list[str]) -> tuple[int, int, int] | None:
-    """Return the running requests, waiting requests and slots that a server reports."""
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
-        return None
-    running, waiting, slots = (int(part) for part in parts)
-    return running, waiting, slots
+def _load(text: str | None) -> tuple[ServerLoad | None, bool]:
+    """Return the load that a server reports, and whether a part of it could not be read.
+
+    Of a fourth figure that cannot be, only this figure is dropped.
+    """
+    if text is None:
+        return None, False
+    counts, slowness = text.split(",")[:3], text.split(",")[3:]
+    if len(counts) != 3 or not all(_COUNT.fullmatch(part.strip()) for part in counts):
+        return None, True
+    load = ServerLoad(*(int(part) for part in counts))
+    if not slowness:
+        return load, False
+    if len(slowness) > 1 or not _DECIMAL.fullmatch(slowness[0].strip()):
+        return load, True
+    percent = float(slowness[0])
+    if not MIN_SLOWNESS_PERCENT <= percent <= MAX_SLOWNESS_PERCENT:
+        return load, True
+    return load._replace(slowness=percent / 100), False
 
 
 def _number(text: str | None) -> float | None:
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -77,10 +77,15 @@
         super().__init__(host)
         self.name = name
         self.zone = zone
+        self.version = "v1"
         self.behaviour = "ok"
         self.requests = []
         self.arrival_times = []  # times at which they arrived, by the clock of the event loop
         self.limit = None  # named in every response: requests a second from all daemons together
+        self.says_leaving = False  # in every response
+        self.back_off_s = None  # named in refusals of behaviour "shed", in seconds
+        self.load = "1,0,8"
+        self.probes = 0  # requests for its report
         self.executions = []
         # Attempts that continued here from a copied KV cache. `executions` of the engine where they
         # began lists them too, but together these are one execution.
@@ -98,7 +103,7 @@
             # A server that was not started has no port yet; an entry without one names no server.
             "address": self.address if self.port else f"{self.host}:1",
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slots": 8,
             "state": "ready",
             "cold_remaining_ms": 0,
@@ -109,9 +114,15 @@
 
     def statements(self):
         """Return the headers in which the server speaks of itself."""
-        return [] if self.limit is None else [("Server-Limit", str(self.limit))]
+        limit = [] if self.limit is None else [("Server-Limit", str(self.limit))]
+        return [*limit, ("Server-Leaving", "1")] if self.says_leaving else limit
 
     async def serve_request(self, request, writer):
+        if request.path == "/report":
+            self.probes += 1
+            fields = {"state": "draining" if self.says_leaving else "ready"}
+            writer.write(answer(200, json.dumps(fields).encode()))
+            return True
         self.requests.append(request)
         self.arrival_times.append(asyncio.get_running_loop().time())
         attempt = request.headers.get("attempt-id", "")
@@ -121,6 +132,8 @@
             return True
         if self.behaviour == "shed":
             refused = [("Not-Executed", "1"), ("Attempt-Id", attempt), *self.statements()]
+            if self.back_off_s is not None:
+                refused.append(("Retry-After", str(self.back_off_s)))
             writer.write(answer(503, b"", refused))
             return True
         self.executions.append(attempt)
@@ -128,7 +141,7 @@
 
     async def run(self, request, attempt, writer):
         """Respond to an executed request according to the behaviour."""
-        headers = [("Attempt-Id", attempt), SIGNATURE, ("Replica-Load", "1,0,8")]
+        headers = [("Attempt-Id", attempt), SIGNATURE, ("Replica-Load", self.load)]
         headers += self.statements()
         good = answer(200, self.body, headers)
         if self.behaviour in ENDLESS:
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -259,12 +259,38 @@
     def test_an_answers_platform_headers_are_decoded(self):
         found = heads.answer(503, "", [("Not-Executed", "1"), ("Replica-Load", "1,2,8")])
         self.assertTrue(found.not_run)
-        self.assertEqual(found.load, (1, 2, 8))
+        self.assertEqual(found.load, (1, 2, 8, None))
         self.assertTrue(heads.answer(421, "", []).not_run)
         self.assertFalse(heads.answer(503, "", [("Replica-Load", "x")]).not_run)
         keep = heads.answer(200, "", [("Keep-Alive", "timeout=5, max=9")])
         self.assertEqual(keep.keep_alive_s, 5.0)
 
+    def test_a_servers_load_has_three_figures_and_may_have_a_fourth(self):
+        # Guards against servers whose load counts as unknown for one odd figure, and against odd
+        # figures that are used.
+        slow = {"1,2,8,100": 1.0, "1, 2, 8, 250": 2.5, "1,2,8,87.5": 0.875}
+        odd = ("", "0", "-5", "1e3", "x", "99999999", "nan", "1,2")
+        for text, slowness in [*slow.items(), *((f"1,2,8,{part}", None) for part in odd)]:
+            with self.subTest(text=text):
+                found = heads.answer(200, "", [("Replica-Load", text)])
+                self.assertEqual(found.load, (1, 2, 8, slowness))
+                self.assertEqual(found.load_unreadable, slowness is None)
+        for text in ("x", "1,2", "-1,2,8", "1,,8", "1,2,99999999999"):
+            found = heads.answer(200, "", [("Replica-Load", text)])
+            self.assertEqual((found.load, found.load_unreadable), (None, True))
+
+    def test_a_server_leaves_if_it_says_one(self):
+        # Guards against a server that gets nothing more after an odd value.
+        for text, leaving in (
+            ("1", True),
+            (" 1 ", True),
+            ("0", False),
+            ("yes", False),
+            ("", False),
+        ):
+            found = heads.answer(200, "", [("Server-Leaving", text)])
+            self.assertIs(found.statement.leaving, leaving)
+
     def test_a_servers_limit_is_a_plain_decimal_number_or_not_readable(self):
         # Guards against a server that gets nothing, or whatever there is, after one odd value.
         for text, per_s in (("3.7", 3.7), ("0", 0.0), ("0.2", 0.2), ("12", 12.0), (" 5 ", 5.0)):
