Keep generations on leaving engines, spread prompts to new engines and after a restart

After a restart of all daemons 44 of 80 first events were late, by chance on the same engines.

New engines of other regions cost more, cold ones read half as fast. A daemon without reports begins with another engine than its neighbours.

--- a/src/lovageway/forwarding/placement.py
+++ b/src/lovageway/forwarding/placement.py
@@ -43,6 +43,12 @@
 # Costs of engines, in requests.
 ENGINE_OTHER_REGION_COST = 0.5
 ENGINE_STALE_LOAD_COST = 3.0  # another region whose load is stale: many daemons see the same engine
+# An engine of another region that joined a moment ago looks idle to all daemons at once, and reads
+# the prompts of all of them one after another.
+NEW_ENGINE_COST = 8.0
+NEW_ENGINE_S = 3.0  # until its load is known in other regions
+COLD_PREFILL_FACTOR = 2.0  # an engine that has just started reads prompts this much more slowly
+TURN_COST = 0.9  # of the last engine in the order of a daemon; less than one request
 ENGINE_FAILURE_COST = 4.0  # for each recent failure
 UNMIGRATABLE_COST = 6.0  # a long generation that could not migrate if its engine left
 UNREAD_TOKEN_COST = 1 / 700  # for each prompt token that an engine has yet to prefill
@@ -63,6 +69,10 @@
     remote_loads_stale: bool = False  # the load of other regions arrives seconds late
     route: str = ""  # name; used only while a roll-out of the service is known
     expected_s: float = 0.0  # how long the request may take; set only then
+    # This daemon's position among all, while it does not know what the others sent; else None.
+    position: int | None = None
+    # Regions in which generations migrate off an engine that leaves.
+    migrating: frozenset[str] = frozenset()
 
 
 def expected_output(generation: Generation) -> int:
@@ -92,6 +102,7 @@
     cost = _engine_cost if work.service.engine is not None else _plain_cost
     loss_weight = _loss_weight(work)
     migratable = _migratable_regions(work, entries, loads) if loss_weight > 0 else set()
+    turns = _turns(work, open_entries)
     best, best_cost = None, float("inf")
     for entry in open_entries:
         value = cost(work, entry, loads[entry.id], now)
@@ -99,12 +110,27 @@
             continue
         if entry.replica.region not in migratable:
             value += UNMIGRATABLE_COST * loss_weight
-        value += rng.random() * 1e-3
+        value += turns.get(entry.id, 0.0) + rng.random() * 1e-3
         if value < best_cost:
             best, best_cost = entry, value
     return best
 
 
+def _turns(work: Work, entries: list[Entry]) -> dict[str, float]:
+    """Return a cost for each engine that differs by daemon, for one that has just started.
+
+    After a restart of all daemons, clients send at once what they held back, and no daemon knows
+    what the others sent where. Each begins with another engine of its region.
+    """
+    if work.position is None or work.service.engine is None:
+        return {}
+    near = sorted(entry.id for entry in entries if entry.replica.region == work.region)
+    return {
+        server: TURN_COST * ((index - work.position) % len(near)) / len(near)
+        for index, server in enumerate(near)
+    }
+
+
 def has_room(service: Service, tokens: int, load: Load) -> bool:
     """Return whether an engine with this load has a slot and memory for a generation.
 
@@ -144,13 +170,20 @@
 def _engine_cost(work: Work, entry: Entry, load: Load, now: float) -> float | None:
     """Return the cost of an engine in requests, or None if it has no room."""
     assert work.service.engine is not None
-    if not has_room(work.service, expected_memory(work.generation), load):
+    needed = expected_memory(work.generation)
+    # Room that becomes free goes to generations that would be lost otherwise.
+    reserve = needed if entry.replica.region in work.migrating else 0
+    if not has_room(work.service, needed + reserve, load):
         return None
     memory = load.tokens / work.service.engine.memory_tokens
     distance = 0.0
     if entry.replica.region != work.region:
         distance = ENGINE_STALE_LOAD_COST if work.remote_loads_stale else ENGINE_OTHER_REGION_COST
-    prefill = UNREAD_TOKEN_COST * load.unread
+        if work.remote_loads_stale and now < entry.known_at + NEW_ENGINE_S:
+            distance += NEW_ENGINE_COST
+    prefill = UNREAD_TOKEN_COST * load.unread * entry.slowness(now)
+    if now < entry.cold_until:
+        prefill *= COLD_PREFILL_FACTOR
     return (
         load.requests
         + 4.0 * memory
@@ -176,4 +209,8 @@
     if entry.replica.zone != work.zone:
         distance = OTHER_ZONE_COST_S if entry.replica.region == work.region else OTHER_REGION_COST_S
     busy = 0.3 * load.requests / slots
-    return latency * (1 + queue + busy) + distance + FAILURE_COST_S * entry.failures(now)
+    return (
+        latency * entry.slowness(now) * (1 + queue + busy)
+        + distance
+        + FAILURE_COST_S * entry.failures(now)
+    )
--- a/src/lovageway/forwarding/state.py
+++ b/src/lovageway/forwarding/state.py
@@ -30,6 +30,7 @@
 from lovageway.forwarding.tokenpace import TokenPace
 from lovageway.platform import heads, names, records
 
+LOADS_KNOWN_S = 4.0  # after the start, until the others have reported their load
 RENEWED_TABLES = frozenset({names.SERVERS_TABLE})  # whose writers write as long as they live
 
 
@@ -104,6 +105,7 @@
         self.streams: set[MigratableStream] = set()
         # Until then an earlier process of this daemon may have used the budgets of the window.
         self._restarted_until = clock() + cfg.bounds.retry_window_s
+        self._loads_known_at = clock() + LOADS_KNOWN_S
         self._retry_budgets: dict[str, RetryBudget] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -182,6 +184,11 @@
         """
         entries, now = self.usable(work.service, regions), self.clock()
         work = work._replace(remote_loads_stale=self.members.is_large(now))
+        leaving = map(self.replicas.get, self.migration_schedule.waiting(now))
+        regions_left = {entry.replica.region for entry in leaving if entry is not None}
+        work = work._replace(migrating=frozenset(regions_left))
+        if now < self._loads_known_at:
+            work = work._replace(position=self.members.position())
         for group in self.rollouts.preferences(work, entries, now):
             entry = placement.choose(work, group, self.load_tracker, now, self.rng)
             if entry is not None:
