Let the soak order roll-outs, and let servers leave and back off by their answers only

Good and bad versions are ordered under all other faults; a bad one that is completed, or gets more than its exposure, breaks a promise.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,6 +1,7 @@
 """Faults of the soak: kinds, targets, durations and pauses are drawn from the seeded generator."""
 
 import asyncio
+import json
 import signal
 import time
 from typing import NamedTuple
@@ -23,6 +24,9 @@
 DRAIN_S = 1.5  # a server still serves for this long after announcing its shutdown
 RESTART_DELAY_S = 0.4
 LIMITS_PER_S = (0, 0.2, 1, 3)  # that servers name
+BACK_OFF_S = 1.0  # that refusals ask for
+ROLLOUT_S = 8.0  # time that an order allows
+ROLLOUT_WAIT_S = 4.0  # beyond it, for the status
 
 
 LIMITED = "limit "  # begins the kind of the fault, before the limit
@@ -37,6 +41,18 @@
     end: float
 
 
+class RolloutRecord(NamedTuple):
+    """A roll-out that was ordered."""
+
+    to: str
+    is_bad: bool
+    state: str | None  # of its status at the end
+    new: list  # servers of the new version
+    old: list
+    begin: float
+    end: float
+
+
 class Faults:
     """Begins faults one after another; several may be active at the same time."""
 
@@ -44,6 +60,7 @@
         self.world = world
         self.rng = world.rng
         self.intervals = []  # of the faults that ended
+        self.rollouts = []  # that ended
         self.failed_stops = []  # (daemon, exit code) of planned stops that did not exit with 0
         self._active_targets = set()  # names of the targets of active faults
         self._copied = world.store.copy()  # to which the store returns
@@ -61,6 +78,10 @@
             self._crashing_part,
             self._limited,
             self._limited,
+            self._says_leaving,
+            self._back_off,
+            self._rollout,
+            self._rollout,
             self._configuration,
             self._evacuation,
             self._compact,
@@ -201,6 +222,55 @@
         kind = f"{LIMITED}{limit}"
         await self._apply_for(kind, server.name, seconds, lambda: name(limit), lambda: name(None))
 
+    async def _back_off(self):
+        """Let a server refuse requests and ask for none for a while."""
+        server = self.rng.choice(self.world.plain)
+
+        def refuse(value, seconds):
+            server.behaviour, server.back_off_s = value, seconds
+
+        seconds = self.rng.uniform(0.5, 2.5)
+        await self._apply_for(
+            "back off",
+            server.name,
+            seconds,
+            lambda: refuse("shed", BACK_OFF_S),
+            lambda: refuse("ok", None),
+        )
+
+    async def _says_leaving(self):
+        """Let a server say in its answers only that it leaves."""
+
+        def announce(server):
+            server.says_leaving = True
+
+        await self._replace("says leaving", DRAIN_S + 0.3, announce)
+
+    async def _rollout(self):
+        """Order a roll-out of the plain service to a good or a bad version."""
+        world, is_bad = self.world, self.rng.random() < 0.5
+        if "rollout" in self._active_targets:
+            return
+        self._active_targets.add("rollout")
+        old, began = list(world.plain), time.monotonic()
+        to = f"v{world.next_server}"
+        try:
+            new = await world.start_version(to, is_bad)
+            order = {"service": "svc", "to": to, "duration_s": ROLLOUT_S}
+            world.store.put("op", "rollout/svc", json.dumps(order))
+            state = None
+            while state is None and time.monotonic() < began + ROLLOUT_S + ROLLOUT_WAIT_S:
+                await asyncio.sleep(0.05)
+                state = world.rollout_state(to)
+            end = time.monotonic()
+            if state is None:
+                world.store.put("op", "rollout/svc", None)
+            await world.retire(old if state == "completed" else new, DRAIN_S, state)
+            self.rollouts.append(RolloutRecord(to, is_bad, state, new, old, began, end))
+            self.intervals.append(FaultInterval("rollout", to, began, time.monotonic()))
+        finally:
+            self._active_targets.discard("rollout")
+
     async def _replace(self, kind, seconds, begin):
         """Apply `begin` to a server, and after `seconds` replace it by a new one in its zone."""
         world = self.world
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -181,3 +181,23 @@
         f for f in faults.intervals if f.begin - 1.0 < item.end and f.end + 1.0 > item.begin
     ]
     return bool(concurrent) and all(fault.kind in PLANNED_FAULTS for fault in concurrent)
+
+
+def check_rollouts(rollouts, share, tolerance):
+    """Return a line for each roll-out whose bad version was completed, or got too many requests.
+
+    Faults may keep a good version from being proved, so it may end as rolled back.
+    """
+    broken = []
+    for item in rollouts:
+        if not item.is_bad:
+            continue
+        if item.state == "completed":
+            broken.append(f"{item.to}: a bad version was completed")
+        counts = [
+            sum(item.begin <= at <= item.end for server in group for at, _, _ in server.arrivals)
+            for group in (item.new, item.old)
+        ]
+        if counts[0] > share * sum(counts) + tolerance:
+            broken.append(f"{item.to}: a bad version got {counts[0]} of {sum(counts)} requests")
+    return broken
--- a/soak/run.py
+++ b/soak/run.py
@@ -7,9 +7,9 @@
 
 from soak.callers import Caller
 from soak.faults import Faults
-from soak.promises import check, check_budget, check_crashes, check_limits
+from soak.promises import check, check_budget, check_crashes, check_limits, check_rollouts
 from soak.servers import EngineServer
-from soak.world import RETRY_BUDGET, World
+from soak.world import EXPOSURE, RETRY_BUDGET, World
 
 CALLERS = 12
 # Within this time after the last fault, pending polls time out and suspensions of servers end.
@@ -49,6 +49,7 @@
         servers = [*world.servers, *world.removed_servers]
         broken += check(observed, servers, faults)
         broken += check_limits(observed, servers, faults)
+        broken += check_rollouts(faults.rollouts, *EXPOSURE)
         broken += check_budget(observed, servers, *RETRY_BUDGET)
         engines = [server for server in servers if isinstance(server, EngineServer)]
         broken += check_crashes([at for engine in engines for at in engine.crash_times], faults)
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -6,8 +6,8 @@
 import time
 
 from standins.proxy import Proxy
-from standins.rawhttp import Listener
-from standins.replica import Engine, Replica
+from standins.rawhttp import Listener, answer
+from standins.replica import SIGNATURE, Engine, Replica
 
 EVENTS = 40  # of each stream
 EVENT_INTERVAL_S = 0.02
@@ -53,9 +53,16 @@
 class PlainServer(_ProxiedServer, Replica):
     """A plain service."""
 
+    is_bad = False  # whether its version fails half of the requests
+    started = 0
+
     async def run(self, request, attempt, writer):
         self.body = expected_body(attempt)
-        return await super().run(request, attempt, writer)
+        self.started += 1
+        if not (self.is_bad and self.started % 2):
+            return await super().run(request, attempt, writer)
+        writer.write(answer(500, b"no", [("Attempt-Id", attempt), SIGNATURE]))
+        return True
 
 
 class EngineServer(_ProxiedServer, Engine):
--- a/soak/world.py
+++ b/soak/world.py
@@ -26,6 +26,7 @@
 WRITE_AGAIN_S = 1.0  # until all is written again that the store lost, on average
 ENGINE_RESTART_S = 0.5  # after a request ended an engine
 RETRY_BUDGET = (0.2, 40, 10.0)  # ratio to the requests, fixed allowance, window in seconds
+EXPOSURE = (0.1, 30)  # share and number of the requests that a bad version may get
 BOUNDS = {
     "drain_ms": 1500,
     "grace_period_s": GRACE_PERIOD_S,
@@ -34,6 +35,8 @@
     "retry_budget_ratio": RETRY_BUDGET[0],
     "retry_budget_extra": RETRY_BUDGET[1],
     "budget_window_s": RETRY_BUDGET[2],
+    "exposure_share": EXPOSURE[0],
+    "exposure_tolerance": EXPOSURE[1],
 }
 READY_TIMEOUT_S = 20.0  # for the start of a daemon, on a busy machine
 _PEAK_MEMORY = re.compile(r"VmHWM:\s+(\d+) kB")
@@ -230,6 +233,39 @@
             if self.store.rows.get(place) == shown.get(place):
                 self.store.put(*place, value)
 
+    async def start_version(self, version, is_bad):
+        """Start servers of another version of the plain service beside those that are listed."""
+        found = []
+        for old in list(self.plain):
+            server = PlainServer(f"n-{self.next_server}", zone=old.zone)
+            self.next_server += 1
+            server.version, server.is_bad = version, is_bad
+            await server.start()
+            self.list_server(server, cold_remaining_ms=300)
+            found.append(server)
+        self.plain += found
+        return found
+
+    def rollout_state(self, to):
+        """Return how the roll-out to a version ended; None if it has not."""
+        _, value = self.store.rows.get(("status", "rollout/svc"), (0, None))
+        fields = json.loads(value) if value else {}
+        state = fields.get("state")
+        return state if fields.get("to") == to and state != "in_progress" else None
+
+    async def retire(self, servers, drain_s, state):
+        """Stop servers after the end of a roll-out; those of a completed one stop at once."""
+        if state != "completed":
+            for server in servers:
+                self.list_server(server, state="draining")
+            await asyncio.sleep(drain_s)
+        for server in servers:
+            self.store.put("servers", server.name, None)
+            if server in self.plain:
+                self.plain.remove(server)
+                self.removed_servers.append(server)
+                await server.stop()
+
     async def restart_crashed(self):
         """Start the engines again that a request ended."""
         for engine in self.engines:
--- a/tests/test_rollout_daemons.py
+++ b/tests/test_rollout_daemons.py
@@ -25,9 +25,6 @@
         self.running = 0
         self.times = []
 
-    def entry(self, **fields):
-        return super().entry(**{"version": self.version, **fields})
-
     async def run(self, request, attempt, writer):
         self.times.append(time.monotonic())
         self.running += 1
