--- a/src/lovageway/forwarding/migration.py
+++ b/src/lovageway/forwarding/migration.py
@@ -14,9 +14,9 @@
 
 from typing import NamedTuple
 
-from lovageway.forwarding.load import Load, LoadTracker
+from lovageway.forwarding.load import LoadTracker
 from lovageway.forwarding.model import Engine, Service
-from lovageway.forwarding.placement import TOKEN_S
+from lovageway.forwarding.placement import TOKEN_S, has_room
 from lovageway.forwarding.replicas import Entry
 
 LEAVE_NOTICE_S = 1.8  # from the announcement until the engine may be gone
@@ -26,7 +26,6 @@
 COPY_SECOND_COST = 4.0  # in requests, for each second that a copy takes
 MIN_REMAINING_S = 3.0  # expected; a generation with less gets no checkpoint
 # Share of an engine's memory that requests and checkpoints together may fill.
-MAX_MIGRATED_SHARE = 0.98  # and that a migrated generation may fill, as far as it is generated
 MAX_CHECKPOINT_SHARE = 0.4
 # A checkpoint is nearly up to date from this time after its first copy.
 CHECKPOINT_LAG_S = 0.5
@@ -90,31 +89,15 @@
 
 def copy_s(engine: Engine, run: RunState, source: Entry, to: Entry) -> float:
     """Return the duration of a copy on an idle link, in seconds."""
+    if engine.link_mbps <= 0:
+        return SETUP_S
     factor = 1.0
     if to.replica.region != source.replica.region:
         factor = OTHER_REGION_FACTOR
     elif to.replica.zone != source.replica.zone:
         factor = OTHER_ZONE_FACTOR
-    return SETUP_S + (fastest_copy_s(engine, run) - SETUP_S) * factor
-
-
-def fastest_copy_s(engine: Engine, run: RunState) -> float:
-    """Return the duration of a copy within a zone on an idle link, in seconds."""
-    if engine.link_mbps <= 0:
-        return SETUP_S
-    bits = (run.prompt + run.generated) * engine.token_bytes * 8
-    return SETUP_S + bits / (engine.link_mbps * 1e6)
-
-
-def can_receive(engine: Engine, run: RunState, load: Load) -> bool:
-    """Return whether an engine has a slot and memory for a generation that migrates.
-
-    It may use more of the memory than a new one: it is lost otherwise, and what it will need later
-    is likely to be free by then.
-    """
-    tokens = load.tokens + run.prompt + run.generated
-    fits = tokens <= MAX_MIGRATED_SHARE * engine.memory_tokens or load.requests == 0
-    return fits and load.requests < engine.slots
+    seconds = (run.prompt + run.generated) * engine.token_bytes * 8 / (engine.link_mbps * 1e6)
+    return SETUP_S + seconds * factor
 
 
 def destination(
@@ -138,7 +121,7 @@
         if entry.id == source.id or service.engine is None:
             continue
         load = load_tracker.at(entry.id, now)
-        if not can_receive(service.engine, run, load):
+        if not has_room(service, tokens_to_hold(run), load):
             continue
         seconds = copy_s(service.engine, run, source, entry)
         if seconds > left_s:
@@ -242,14 +225,6 @@
         else:
             notice.daemons.add(daemon)
 
-    def waiting(self, now: float) -> list[str]:
-        """Return the engines from which generations may still have to migrate."""
-        return [
-            server
-            for server, notice in self._notices.items()
-            if now - notice.at < LEAVE_NOTICE_S and notice.runs.keys() - notice.finished
-        ]
-
     def daemons(self, server: str) -> set[str]:
         """Return the addresses of the other daemons whose generations run on an engine."""
         notice = self._notices.get(server)
--- a/src/lovageway/forwarding/migrator.py
+++ b/src/lovageway/forwarding/migrator.py
@@ -122,9 +122,6 @@
                 await asyncio.sleep(RETRY_PAUSE_S)
                 continue
             if to is None:
-                if self._may_wait(run, left):
-                    await asyncio.sleep(RETRY_PAUSE_S)  # generations end all the time
-                    continue
                 self._log_result(source, to, MigrationResult(0, None, 0), started_at)
                 return None
             result = await self._copy_and_stop(source, to)
@@ -142,11 +139,6 @@
             refused.add(to.id)
         return None
 
-    def _may_wait(self, run: migration.RunState, left_s: float) -> bool:
-        """Return whether there is still time to copy once an engine has room."""
-        engine = self._request.service.engine
-        return engine is not None and left_s > migration.fastest_copy_s(engine, run) + RETRY_PAUSE_S
-
     async def _copy_and_stop(self, source: Entry, to: Entry) -> MigrationResult:
         """Copy the generation while it runs, then stop it and copy the rest.
 
--- a/src/lovageway/forwarding/placement.py
+++ b/src/lovageway/forwarding/placement.py
@@ -71,8 +71,6 @@
     expected_s: float = 0.0  # how long the request may take; set only then
     # This daemon's position among all, while it does not know what the others sent; else None.
     position: int | None = None
-    # Regions in which generations migrate off an engine that leaves.
-    migrating: frozenset[str] = frozenset()
 
 
 def expected_output(generation: Generation) -> int:
@@ -170,10 +168,7 @@
 def _engine_cost(work: Work, entry: Entry, load: Load, now: float) -> float | None:
     """Return the cost of an engine in requests, or None if it has no room."""
     assert work.service.engine is not None
-    needed = expected_memory(work.generation)
-    # Room that becomes free goes to generations that would be lost otherwise.
-    reserve = needed if entry.replica.region in work.migrating else 0
-    if not has_room(work.service, needed + reserve, load):
+    if not has_room(work.service, expected_memory(work.generation), load):
         return None
     memory = load.tokens / work.service.engine.memory_tokens
     distance = 0.0
--- a/src/lovageway/forwarding/state.py
+++ b/src/lovageway/forwarding/state.py
@@ -184,9 +184,6 @@
         """
         entries, now = self.usable(work.service, regions), self.clock()
         work = work._replace(remote_loads_stale=self.members.is_large(now))
-        leaving = map(self.replicas.get, self.migration_schedule.waiting(now))
-        regions_left = {entry.replica.region for entry in leaving if entry is not None}
-        work = work._replace(migrating=frozenset(regions_left))
         if now < self._loads_known_at:
             work = work._replace(position=self.members.position())
         for group in self.rollouts.preferences(work, entries, now):
