Refuse what cannot be placed in time at once, and tell refused clients the time that the backlog takes

Cause: a request waited for a fixed share of its time whatever was before it, and Retry-After was a constant, 0.2 or 0.8 s, also when fifty requests waited.

Change: the admission queue foretells the wait from the placements of the last 3 s of the same service. A request that would wait over twice its time is refused at once; Retry-After is the expected wait, at most 5 s. Without four placements nothing changes.

Result: tests.test_admissionqueue replays a pace with requests before, a pause and another service; the tests of waiting, limits and refusals pass unchanged.

--- a/src/lovageway/forwarding/admissionqueue.py
+++ b/src/lovageway/forwarding/admissionqueue.py
@@ -3,15 +3,20 @@
 Load pattern: for seconds at a time, more work arrives than the servers' slots and memory can hold.
 Requests that can still meet their target go before those that cannot, urgent ones before others,
 and among equals the one that arrived first. A request that finds no server within its waiting time
-is rejected then, not at its deadline.
+is rejected then, not at its deadline; one that certainly will not, by the pace at which requests
+before it were placed, is rejected at once. Both are told when to come back, by the same pace.
 """
 
 import asyncio
+from collections import deque
 from collections.abc import Callable, Hashable
 from typing import Generic, NamedTuple, TypeVar
 
 T = TypeVar("T")
 MAX_QUEUED_REQUESTS = 256  # a further request is rejected at once
+PACE_WINDOW_S = 3.0  # in which placements are counted
+MIN_PLACED = 4  # in the window; fewer tell no pace
+MAX_PLACED = 512  # that are remembered
 
 
 class Rank(NamedTuple):
@@ -53,6 +58,8 @@
 
     def __init__(self) -> None:
         self._waiters: list[_Waiter[T]] = []
+        # When requests that waited were placed, and of which kind they were.
+        self._placed: deque[tuple[float, Hashable]] = deque(maxlen=MAX_PLACED)
 
     def __len__(self) -> int:
         return len(self._waiters)
@@ -75,6 +82,22 @@
             waiter.rank.key(now) <= key and competes(waiter.need.kind) for waiter in self._waiters
         )
 
+    def expected_wait_s(
+        self, rank: Rank, competes: Callable[[Hashable], bool], now: float
+    ) -> float | None:
+        """Return how long a request of a rank would wait; None if that is not known.
+
+        Parameters
+        ----------
+        competes
+            Returns whether requests of a kind want the same servers.
+        """
+        times = [at for at, kind in self._placed if at > now - PACE_WINDOW_S and competes(kind)]
+        if len(times) < MIN_PLACED:
+            return None
+        interval_s = (now - times[0]) / len(times)
+        return interval_s * (self.count_before(rank, competes, now) + 1)
+
     async def wait(
         self,
         rank: Rank,
@@ -125,6 +148,7 @@
                 continue
             waiter.fut.set_result(server)
             self._waiters.remove(waiter)
+            self._placed.append((now, kind))
 
 
 def _has_result(fut: asyncio.Future[T | None]) -> bool:
--- a/src/lovageway/forwarding/request.py
+++ b/src/lovageway/forwarding/request.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from functools import cached_property
+from functools import cached_property, partial
 from typing import NamedTuple
 
 from expression import Error, Ok, Result
@@ -27,6 +27,9 @@
 # Values of Retry-After; the second one is sent when no server is usable or the queue is full.
 RETRY_AFTER_S = 0.2
 RETRY_AFTER_FULL_S = 0.8
+MAX_RETRY_AFTER_S = 5.0  # a longer backlog is a guess
+# A request is rejected at once if the expected wait is this multiple of the time that it may wait.
+HOPELESS_FACTOR = 2.0
 CLOCK_STEP_S = 0.001
 EXPECTED_CALL_S = 0.3  # expected duration of a call, and of a generation beside its output
 
@@ -259,11 +262,7 @@
     state, service, regions = request.state, request.service, request.regions
     if not state.statements.in_force:
         return None
-    now = state.clock()
-
-    def competes(kind: object) -> bool:
-        return isinstance(kind, Kind) and kind.service == service.name
-
+    now, competes = state.clock(), partial(_competes, service.name)
     before = state.admission_queue.count_before(rank, competes, now)
     slots = state.limited_slots(service, regions, before + 1)
     if slots is None:
@@ -279,6 +278,28 @@
     return Refusal(Code.SERVERS_LIMITED, retry_after_s=wait_s)
 
 
+def _competes(service: str, kind: object) -> bool:
+    """Return whether waiting requests of a kind want the servers of a service."""
+    return isinstance(kind, Kind) and kind.service == service
+
+
+def _expected_wait_s(request: Request, rank: Rank) -> float | None:
+    """Return how long a request would wait behind those before it; None if that is not known."""
+    state, competes = request.state, partial(_competes, request.service.name)
+    return state.admission_queue.expected_wait_s(rank, competes, state.clock())
+
+
+def _retry_after_s(request: Request, rank: Rank, least_s: float) -> float:
+    """Return when a refused request may come back: after those before it, as far as is known."""
+    return min(MAX_RETRY_AFTER_S, max(least_s, _expected_wait_s(request, rank) or 0.0))
+
+
+def _is_hopeless(request: Request, rank: Rank, limit_s: float) -> bool:
+    """Return whether a request will certainly not be placed in the time that it may wait."""
+    expected_s = _expected_wait_s(request, rank)
+    return expected_s is not None and expected_s > HOPELESS_FACTOR * limit_s
+
+
 async def place(request: Request, choose: Callable[[], Entry | None]) -> Result[Entry, Refusal]:
     """Return the server for the next attempt.
 
@@ -293,17 +314,22 @@
         return Ok(entry)
     if not state.replicas.has_servers(request.service.name, request.regions):
         return Error(Refusal(Code.NO_SERVER, retry_after_s=RETRY_AFTER_FULL_S))
-    if state.admission_queue.is_full:
-        return Error(Refusal(Code.QUEUE_FULL, retry_after_s=RETRY_AFTER_FULL_S))
     began = state.clock()
     target_at = request.inbound.arrived_at + request.route.target_s
     rank = Rank(request.priority, request.inbound.arrived_at, target_at)
     share = STREAM_WAIT_SHARE if request.service.engine is not None else CALL_WAIT_SHARE
     limit = max(0.0, min(share * request.left_s(), request.answer_time_s()))
     kind = Kind(request.service.name, request.regions, frozenset(request.tried))
+    if state.admission_queue.is_full:
+        after_s = _retry_after_s(request, rank, RETRY_AFTER_FULL_S)
+        return Error(Refusal(Code.QUEUE_FULL, retry_after_s=after_s))
     limited = hold_off(request, rank, limit)
     if limited is not None:
         return Error(limited)
+    if _is_hopeless(request, rank, limit):
+        state.telemetry.add("hopeless_refusals")
+        after_s = _retry_after_s(request, rank, RETRY_AFTER_S)
+        return Error(Refusal(Code.QUEUE_FULL, "too many wait", after_s))
     entry = await state.admission_queue.wait(
         rank,
         Need(kind, request.tokens),
@@ -320,5 +346,6 @@
         # The stop began, or the time passed, while the request waited.
         return Error(Refusal(Code.LEAVING, retry_after_s=0.0))
     if entry is None:
-        return Error(Refusal(Code.WAITED_TOO_LONG, retry_after_s=RETRY_AFTER_S))
+        after_s = _retry_after_s(request, rank, RETRY_AFTER_S)
+        return Error(Refusal(Code.WAITED_TOO_LONG, retry_after_s=after_s))
     return Ok(entry)
--- a/src/lovageway/forwarding/telemetry.py
+++ b/src/lovageway/forwarding/telemetry.py
@@ -21,6 +21,7 @@
     "forward_attempts": ("Attempts at backend servers, by how they ended.", ("outcome",)),
     "answers_rejected": ("Answers of servers that were not taken, by fault.", ("fault",)),
     "limits_unreadable": ("Limits that servers named and that could not be read.", ()),
+    "hopeless_refusals": ("Requests refused at once, as those before them take too long.", ()),
     "limit_refusals": ("Requests refused since the limits of the servers leave no room.", ()),
     "broken_attempts": (
         "Attempts whose server ended the answer, by whether an event had arrived.",
--- a/tests/test_admissionqueue.py
+++ b/tests/test_admissionqueue.py
@@ -114,3 +114,46 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+
+
+class Backlog(unittest.IsolatedAsyncioTestCase):
+    """Load pattern: servers become free now and then, and far more requests wait."""
+
+    def setUp(self):
+        self.queue = AdmissionQueue()
+
+    async def serve(self, count, interval_s, waiting=0):
+        """Place requests one after another; leave some that wait."""
+        free = asyncio.Event()
+        tasks = [
+            asyncio.ensure_future(
+                self.queue.wait(Rank(1, n, 99.0), ANY, lambda: free.is_set() or None, 60.0)
+            )
+            for n in range(count + waiting)
+        ]
+        self.addCleanup(lambda: [task.cancel() for task in tasks])
+        await asyncio.sleep(0)
+        for number in range(count):
+            waiter = min(self.queue._waiters, key=lambda item: item.rank.key(0.0))
+            waiter.attempt = lambda: "server"
+            self.queue.pump((number + 1) * interval_s)
+        return count * interval_s
+
+    async def test_the_expected_wait_follows_the_pace_and_those_before(self):
+        # Guards against a time to come back that is the same for one and for fifty before it.
+        now = await self.serve(10, 0.2, waiting=7)
+        last, first = Rank(1, 999.0, 9999.0), Rank(0, 0.0, 9999.0)
+        self.assertAlmostEqual(
+            self.queue.expected_wait_s(last, lambda kind: True, now), 8 * 0.18, delta=0.05
+        )
+        self.assertAlmostEqual(
+            self.queue.expected_wait_s(first, lambda kind: True, now), 0.18, delta=0.02
+        )
+
+    async def test_without_placements_nothing_is_foretold(self):
+        # Guards against requests that are rejected by a guess, after a pause or at a start.
+        rank = Rank(1, 0.0, 9.0)
+        self.assertIsNone(self.queue.expected_wait_s(rank, lambda kind: True, 0.0))
+        now = await self.serve(10, 0.2)
+        self.assertIsNone(self.queue.expected_wait_s(rank, lambda kind: True, now + 60.0))
+        self.assertIsNone(self.queue.expected_wait_s(rank, lambda kind: False, now))
