--- a/src/lovageway/forwarding/placement.py
+++ b/src/lovageway/forwarding/placement.py
@@ -98,12 +98,13 @@
     open_entries = [entry for entry in entries if entry.id not in work.avoid] or entries
     loads = {entry.id: load_tracker.at(entry.id, now) for entry in entries}
     cost = _engine_cost if work.service.engine is not None else _plain_cost
+    needed = expected_memory(work.generation)
     loss_weight = _loss_weight(work)
     migratable = _migratable_regions(work, entries, loads) if loss_weight > 0 else set()
     turns = _turns(work, open_entries)
     best, best_cost = None, float("inf")
     for entry in open_entries:
-        value = cost(work, entry, loads[entry.id], now)
+        value = cost(work, entry, loads[entry.id], needed, now)
         if value is None:
             continue
         if entry.replica.region not in migratable:
@@ -165,10 +166,10 @@
     return {region for region, count in engines.items() if tokens[region] <= room * (count - 1)}
 
 
-def _engine_cost(work: Work, entry: Entry, load: Load, now: float) -> float | None:
+def _engine_cost(work: Work, entry: Entry, load: Load, needed: int, now: float) -> float | None:
     """Return the cost of an engine in requests, or None if it has no room."""
     assert work.service.engine is not None
-    if not has_room(work.service, expected_memory(work.generation), load):
+    if not has_room(work.service, needed, load):
         return None
     memory = load.tokens / work.service.engine.memory_tokens
     distance = 0.0
@@ -193,7 +194,7 @@
     return any(load_tracker.at(entry.id, now).requests < entry.replica.slots for entry in entries)
 
 
-def _plain_cost(work: Work, entry: Entry, load: Load, now: float) -> float | None:
+def _plain_cost(work: Work, entry: Entry, load: Load, needed: int, now: float) -> float | None:
     """Return the expected time at a plain server in seconds, or None if it is full."""
     slots = max(1, entry.replica.slots)
     if load.requests >= MAX_REQUESTS_PER_SLOT * slots + 2:
--- a/src/lovageway/forwarding/replicas.py
+++ b/src/lovageway/forwarding/replicas.py
@@ -215,17 +215,21 @@
             Returns, for a server id, how many daemons come before this one in the server's order.
         """
         limited = self.statements.in_force > 0
-        return [
-            entry
-            for entry in self._entries.values()
-            if entry.replica.service == service.name
-            and max(entry.suspended_until, entry.back_off_until) <= now
-            and self._may_serve(entry, service.name, regions)
-            and (
-                (now >= entry.cold_until and not limited)
-                or self._can_accept_more(entry, service, daemons, now, rank)
-            )
-        ]
+        evacuated, name, found = self._evacuated, service.name, []
+        for entry in self._entries.values():  # written out: it runs for each request
+            server = entry.replica
+            if server.service != name or entry.leaving or server.zone in evacuated:
+                continue
+            if entry.suspended_until > now or entry.back_off_until > now:
+                continue
+            if regions and server.region not in regions:
+                continue
+            if (now < entry.cold_until or limited) and not self._can_accept_more(
+                entry, service, daemons, now, rank
+            ):
+                continue
+            found.append(entry)
+        return found
 
     def accepting(self, service: str) -> list[Entry]:
         """Return the servers of a service that accept work, even if they are suspended now."""
