Let the evidence of a roll-out be a module of its own, and write a status again in a later era

Cause: rollouts.py held what a daemon knows, where requests go and the counts of answers; a final status that the store lost more than a minute after its end was not written again.

Change: answers.py counts answers; the status counts as saved in the era in which it was read.

--- a/src/lovageway/forwarding/attempt.py
+++ b/src/lovageway/forwarding/attempt.py
@@ -186,7 +186,7 @@
     head: AnswerHead | None = None
     body = bytearray()
     request.reserved.release()
-    observation = Observation(state.rollouts, entry, request.route, began)
+    observation = Observation(state.rollouts, state.telemetry, entry, request.route, began)
     try:
         async with send(request, entry, AttemptOptions(request.head.last_event)) as exchange:
             while True:
--- a/src/lovageway/forwarding/rollout/rollouts.py
+++ b/src/lovageway/forwarding/rollout/rollouts.py
@@ -11,17 +11,14 @@
 from typing import NamedTuple
 
 from lovageway.forwarding.members import sort_key
-from lovageway.forwarding.model import Bounds, RolloutOrder, RolloutPhase, Route
+from lovageway.forwarding.model import Bounds, RolloutOrder, RolloutPhase
 from lovageway.forwarding.placement import Work
 from lovageway.forwarding.replicas import Entry
+from lovageway.forwarding.rollout.answers import Answers, describe_evidence
 from lovageway.forwarding.rollout.exposure import Exposure
-from lovageway.forwarding.rollout.latency import UsualLatency
 from lovageway.forwarding.rollout.model import (
     Announcement,
-    Count,
-    Evidence,
     Report,
-    RouteCounts,
     Run,
 )
 
@@ -48,20 +45,13 @@
         self.withdrawn = False
         self.stopped: frozenset[str] = frozenset()  # ids of the old servers when it was completed
         self.exposure: Exposure | None = None
-        self.latency = UsualLatency()
-        self.pace = UsualLatency()
-        self.own = Evidence({}, {})
-        self.reports: dict[tuple[str, int], Evidence] = {}  # by address and incarnation
+        self.answers = Answers(to)
 
     @property
     def in_progress(self) -> bool:
         """Return whether it was announced and has not ended."""
         return self.phase is not None and not self.phase.is_final
 
-    def evidence(self) -> Evidence:
-        """Return the answers at this daemon and at all that reported."""
-        return sum(self.reports.values(), self.own)
-
 
 class Change(NamedTuple):
     """A phase that began, for the log."""
@@ -94,8 +84,6 @@
         self._count_sharers = count_sharers
         self._services: dict[str, Rollout] = {}
         self._barred: dict[str, set[str]] = {}  # by service: versions that are not proved
-        # Called for each answer with the service, "new" or "old", and whether it was bad.
-        self.on_counted: Callable[[str, str, bool], None] = lambda service, version, bad: None
         self.has_history = True  # whether an earlier process of this daemon may have sent requests
 
     def get(self, service: str) -> Rollout | None:
@@ -144,9 +132,7 @@
     ) -> Change:
         """Start to take part in a run."""
         rollout.run = run
-        rollout.own = Evidence({}, {})
-        rollout.reports.clear()
-        rollout.latency, rollout.pace = UsualLatency(), UsualLatency()
+        rollout.answers = Answers(rollout.to)
         rollout.deadline_at = now + left_s
         rollout.exposure = Exposure(
             self.bounds.exposure_share,
@@ -352,67 +338,18 @@
         if rollout is not None and rollout.in_progress and rollout.exposure is not None:
             rollout.exposure.on_send(is_new=entry.replica.version == rollout.to)
 
-    # Answers.
-
-    def on_answer(self, entry: Entry, route: Route, latency_s: float, now: float) -> bool:
-        """Count an answer that arrived; return whether it was slow."""
-        rollout = self._running(entry)
-        if rollout is None:
-            return False
-        is_new = entry.replica.version == rollout.to
-        # A server that has just started is slow for some seconds.
-        slow = now >= entry.cold_until and rollout.latency.is_slow(route, latency_s)
-        if not is_new:
-            rollout.latency.add(route, latency_s)
-        self._count(rollout, entry, route, Count(1, int(slow)))
-        return slow
-
-    def is_pace_slow(self, entry: Entry, route: Route, gap_s: float, now: float) -> bool:
-        """Return whether the events of a stream came much slower than the old version's."""
-        rollout = self._running(entry)
-        if rollout is None or gap_s <= 0:
-            return False
-        limits = route._replace(target_s=route.gap_s)
-        slow = now >= entry.cold_until and rollout.pace.is_slow(limits, gap_s)
-        if entry.replica.version != rollout.to:
-            rollout.pace.add(route, gap_s)
-        return slow
-
-    def on_failure(self, entry: Entry, route: Route, *, counted: bool) -> None:
-        """Count an answer that failed.
-
-        Parameters
-        ----------
-        counted
-            Whether the beginning of the answer was already counted.
-        """
-        rollout = self._running(entry)
-        if rollout is not None:
-            self._count(rollout, entry, route, Count(0 if counted else 1, 1))
+    # Evidence.
 
-    def _running(self, entry: Entry) -> Rollout | None:
+    def watched(self, entry: Entry) -> Rollout | None:
+        """Return the roll-out in progress for which answers of a server count."""
         rollout = self._services.get(entry.replica.service)
         return rollout if rollout is not None and rollout.in_progress else None
 
-    def _count(self, rollout: Rollout, entry: Entry, route: Route, count: Count) -> None:
-        routes, servers = rollout.own
-        is_new = entry.replica.version == rollout.to
-        added = RouteCounts(new=count) if is_new else RouteCounts(old=count)
-        routes[route.name] = routes.get(route.name, RouteCounts()) + added
-        self.on_counted(entry.replica.service, "new" if is_new else "old", count.bad > 0)
-        if is_new:
-            key = (route.name, entry.id)
-            servers[key] = servers.get(key, Count()) + count
-
     def on_report(self, report: Report) -> None:
-        """Take the evidence of another daemon, unless it is of another run or an earlier moment."""
+        """Take the evidence of another daemon, unless it is of another run."""
         rollout = self._services.get(report.run.service)
-        if rollout is None or rollout.run != report.run:
-            return
-        key = (report.ip, report.incarnation)
-        known = rollout.reports.get(key)
-        if known is None or _answers(report.evidence) >= _answers(known):
-            rollout.reports[key] = report.evidence
+        if rollout is not None and rollout.run == report.run:
+            rollout.answers.on_report(report)
 
     def describe(self, now: float) -> list[dict[str, object]]:
         """Return the roll-outs for operators."""
@@ -428,20 +365,11 @@
                 "sent": rollout.exposure.sent if rollout.exposure is not None else 0,
                 "sent_new": rollout.exposure.sent_new if rollout.exposure is not None else 0,
                 "barred": sorted(self._barred.get(service, set())),
-                "evidence": describe_evidence(rollout.evidence()),
+                "evidence": describe_evidence(rollout.answers.total()),
             }
             for service, rollout in self._services.items()
         ]
 
 
-def describe_evidence(evidence: Evidence) -> dict[str, list[int]]:
-    """Return answers and bad answers of the new and of the old version, by route."""
-    return {route: [*counts.new, *counts.old] for route, counts in evidence.routes.items()}
-
-
 def _has_ended(rollout: Rollout) -> bool:
     return rollout.phase is not None and rollout.phase.is_final
-
-
-def _answers(evidence: Evidence) -> int:
-    return sum(counts.new.answers + counts.old.answers for counts in evidence.routes.values())
--- a/src/lovageway/forwarding/rollout/spread.py
+++ b/src/lovageway/forwarding/rollout/spread.py
@@ -7,8 +7,9 @@
 from lovageway.forwarding.model import RolloutOrder, RolloutPhase, RolloutStatus, Row
 from lovageway.forwarding.newssender import NewsLimits, NewsSender
 from lovageway.forwarding.rollout import schedule
+from lovageway.forwarding.rollout.answers import describe_evidence
 from lovageway.forwarding.rollout.model import Report, Run
-from lovageway.forwarding.rollout.rollouts import Change, Rollout, describe_evidence
+from lovageway.forwarding.rollout.rollouts import Change, Rollout
 from lovageway.forwarding.state import State
 from lovageway.forwarding.storewatch import StoreClient, StoreError
 from lovageway.platform import names, records
@@ -31,6 +32,7 @@
         self.busy = False
         self.ignored: RolloutOrder | None = None  # the order that was reported as ignored
         self.saved: RolloutPhase | None = None  # the final phase that the store has
+        self.saved_in = 0  # era of the store in which it had it
 
 
 class RolloutSpread:
@@ -114,7 +116,7 @@
             left_s=round(rollout.deadline_at - state.clock(), 1),
             sent=exposure.sent if exposure is not None else 0,
             sent_new=exposure.sent_new if exposure is not None else 0,
-            answers=describe_evidence(rollout.evidence()),
+            answers=describe_evidence(rollout.answers.total()),
         )
 
     # Periodic work.
@@ -133,10 +135,10 @@
                 self._coordinate(service, rollout, now)
 
     def _send_report(self, rollout: Rollout, ips: list[str]) -> None:
-        if rollout.run is None or not rollout.own.routes or not ips:
+        if rollout.run is None or not rollout.answers.own.routes or not ips:
             return
         own = self._state.members.own
-        report = Report(own.ip, own.incarnation, rollout.run, rollout.own)
+        report = Report(own.ip, own.incarnation, rollout.run, rollout.answers.own)
         self._gossip.send(gossip.encode(report), ips, self._port)
 
     def _coordinate(self, service: str, rollout: Rollout, now: float) -> None:
@@ -165,7 +167,12 @@
             return False
         if rollout.phase is None or not rollout.phase.is_final:
             return True
-        return duty.saved is not rollout.phase or now - rollout.phase_since < FINAL_SYNC_S
+        is_saved = duty.saved is rollout.phase and duty.saved_in == self._era()
+        return not is_saved or now - rollout.phase_since < FINAL_SYNC_S
+
+    def _era(self) -> int:
+        """Return the era of the store: in a later one it may have lost the status."""
+        return self._state.mirror.position(names.OPERATOR_TABLE).era
 
     def _advance(self, service: str, rollout: Rollout, duty: _Duty, now: float) -> None:
         """Begin the phase that follows from the evidence, and announce the present one."""
@@ -173,7 +180,7 @@
         assert rollout.order is not None and rollout.phase is not None
         decision = schedule.decide(self._facts(service, rollout, duty, now))
         rollout.heard_at = now
-        share = schedule.canary_share(rollout.evidence(), state.cfg.bounds.exposure_share)
+        share = schedule.canary_share(rollout.answers.total(), state.cfg.bounds.exposure_share)
         rollout.share = share
         began_at = rollout.deadline_at - rollout.order.duration_s
         rollout.switch_at = began_at + schedule.switch_at_s(rollout.order.duration_s)
@@ -199,7 +206,7 @@
             elapsed_s=duration_s - (rollout.deadline_at - now),
             phase=rollout.phase,
             in_phase_s=now - rollout.phase_since,
-            evidence=rollout.evidence(),
+            evidence=rollout.answers.total(),
             new_slots=new,
             old_slots=old,
             store_silent_s=now - duty.synced_at,
@@ -238,7 +245,7 @@
             return
         is_own = status is not None and _run(status) == rollout.run
         if is_own and status is not None and status.phase.is_final:
-            duty.saved = status.phase
+            duty.saved, duty.saved_in = status.phase, self._era()
             self._report(state.rollouts.set_phase(rollout, status.phase, now), "status")
             return
         order = rollout.order
@@ -252,7 +259,7 @@
             return
         await write(RolloutStatus(phase, order, rollout.run.began_ms))
         if phase.is_final:
-            duty.saved = phase
+            duty.saved, duty.saved_in = phase, self._era()
             change = state.rollouts.set_phase(rollout, phase, state.clock())
             self._report(change, "status written")
 
--- a/src/lovageway/forwarding/state.py
+++ b/src/lovageway/forwarding/state.py
@@ -69,9 +69,6 @@
             cfg.bounds, rng, self.replicas.accepting, self.members.count_sharers
         )
         self.replicas.on_sent = self.rollouts.on_send
-        self.rollouts.on_counted = lambda service, version, bad: self.telemetry.add(
-            "rollout_answers", service, version, "yes" if bad else "no"
-        )
         self.load_tracker = LoadTracker()
         self.token_pace = TokenPace()
         self.poison = PoisonDetector()
--- a/src/lovageway/forwarding/streams.py
+++ b/src/lovageway/forwarding/streams.py
@@ -179,7 +179,9 @@
         self.entry = entry
         self.sent_at = self.state.clock()
         self.begun = False
-        self.observation = Observation(state.rollouts, entry, request.route, self.sent_at)
+        self.observation = Observation(
+            state.rollouts, state.telemetry, entry, request.route, self.sent_at
+        )
         self._choose_checkpoint(entry)
         self._log_placed(entry)
         self._pending_prompt = self._prompt_tokens() if handover is None else 0
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -187,17 +187,18 @@
         self.order()
         self.hear()
         self.route = route(host="h")._replace(target_s=0.3)
+        self.answers = self.rollouts.get("svc").answers
 
     def answer(self, index, latency_s, count=1):
         for _ in range(count):
-            self.rollouts.on_answer(self.entries[index], self.route, latency_s, 1.0)
+            self.answers.on_answer(self.entries[index], self.route, latency_s, 1.0)
 
     def test_answers_several_times_slower_than_usual_are_bad(self):
         # Guards against a version that only delays its answers.
         self.answer(0, 0.1, count=20)
         self.answer(4, 0.5, count=3)
         self.answer(4, 0.2)
-        counts = self.rollouts.get("svc").evidence().routes[self.route.name]
+        counts = self.answers.total().routes[self.route.name]
         self.assertEqual((counts.new, counts.old), (Count(4, 3), Count(20, 0)))
 
     def test_a_cold_server_is_not_called_slow(self):
@@ -205,9 +206,7 @@
         self.answer(0, 0.1, count=20)
         self.entries[4].cold_until = 2.0
         self.answer(4, 0.5, count=3)
-        self.assertEqual(
-            self.rollouts.get("svc").evidence().routes[self.route.name].new, Count(3, 0)
-        )
+        self.assertEqual(self.answers.total().routes[self.route.name].new, Count(3, 0))
 
     def test_reports_are_counted_once_for_each_process(self):
         # Guards against evidence that a repeated or overtaken report counts twice or takes back.
@@ -220,7 +219,7 @@
 
         for item in (report(3), report(5), report(3), report(4, incarnation=2), report(9, 1, 999)):
             self.rollouts.on_report(item)
-        total = self.rollouts.get("svc").evidence().routes["r"].new
+        total = self.answers.total().routes["r"].new
         self.assertEqual(total, Count(9, 2))
 
     def test_the_order_of_observed_servers_is_the_same_on_all_daemons(self):
