--- a/tests/test_rollout_daemons.py
+++ b/tests/test_rollout_daemons.py
@@ -6,19 +6,24 @@
 from uuid import uuid4
 
 from standins.caller import WAIT_S
-from standins.replica import Replica
+from standins.replica import Engine, Replica
 
 from lovageway.forwarding.model import RolloutPhase
 from tests.relayworld import BOUNDS, RelayCase, route
+from tests.test_streams import STREAM
 
 CALLS_PER_S = 60
 DURATION_S = 12.0
 
 
+def _never(server, request):
+    return False
+
+
 class Versioned(Replica):
     """A plain service with a version; a bad one fails the requests that `is_bad` picks."""
 
-    def __init__(self, name, version, is_bad=lambda server, request: False):
+    def __init__(self, name, version, is_bad):
         super().__init__(name)
         self.version = version
         self.is_bad = is_bad
@@ -36,16 +41,33 @@
             self.running -= 1
 
 
+class VersionedEngine(Engine):
+    """A model engine with a version; a bad one fails each generation."""
+
+    def __init__(self, name, version, is_bad):
+        super().__init__(name, events=3)
+        self.version = version
+        self.is_bad = is_bad
+        self.times = []
+
+    async def run(self, request, attempt, writer):
+        self.times.append(time.monotonic())
+        self.behaviour = "fail" if self.is_bad(self, request) else "ok"
+        return await super().run(request, attempt, writer)
+
+
 class RolloutCase(RelayCase):
     daemons = 3
+    kind, service = Versioned, "svc"
+    fields = {}  # of the requests
 
     def settings(self, number):
         bounds = BOUNDS._replace(exposure_share=0.1, exposure_tolerance=50.0, rollback_s=5.0)
         return super().settings(number)._replace(bounds=bounds)
 
-    async def start(self, is_bad=lambda server, request: False, routes=None):
-        self.old = [Versioned(f"i-{n}", "v1") for n in (1, 2, 3)]
-        self.new = [Versioned(f"i-{n}", "v2", is_bad) for n in (4, 5, 6)]
+    async def start(self, is_bad=_never, routes=None):
+        self.old = [self.kind(f"i-{n}", "v1", _never) for n in (1, 2, 3)]
+        self.new = [self.kind(f"i-{n}", "v2", is_bad) for n in (4, 5, 6)]
         await self.serve(*self.old, routes=routes or [route()])
         self.has_two = routes is not None
         self.statuses = []
@@ -69,20 +91,21 @@
 
     async def call(self, number, path):
         try:
-            status = (await self.ask(number, target=path, attempt=str(uuid4()))).status
+            reply = await self.ask(number, target=path, attempt=str(uuid4()), **self.fields)
+            status = reply.status
         except (OSError, EOFError):
             return
         self.statuses.append(status)
 
     async def order(self, to="v2", duration_s=DURATION_S, **fields):
-        known = {"service": "svc", "to": to, "duration_s": duration_s}
+        known = {"service": self.service, "to": to, "duration_s": duration_s}
         self.ordered_at = time.monotonic()
-        self.store.put("op", "rollout/svc", {**known, **fields})
+        self.store.put("op", f"rollout/{self.service}", {**known, **fields})
         for server in self.new:
             await self.start_server(server)
 
     def status(self):
-        _, value = self.store.rows.get(("status", "rollout/svc"), (0, None))
+        _, value = self.store.rows.get(("status", f"rollout/{self.service}"), (0, None))
         return json.loads(value) if value else {}
 
     async def ends(self, state):
@@ -149,6 +172,27 @@
         await self.check_bad(lambda server, request: len(server.times) > 8)
 
 
+class Generations(RolloutCase):
+    kind, service = VersionedEngine, "llm"
+    fields = {"method": "POST", "body": b"p", "Token_Usage": "90,12"}
+
+    async def test_a_version_of_engines_that_fails_is_rolled_back(self):
+        # Guards against generations whose failures count for no version.
+        await self.start(lambda server, request: True, [STREAM])
+        await self.order()
+        await self.ends("rolled_back")
+        self.check_exposure()
+        reasons = [line for relay in self.relays for line in relay.log.of("rollout")]
+        self.assertIn("bad answers", [line["reason"] for line in reasons])
+
+    async def test_a_good_version_of_engines_is_completed(self):
+        # Guards against engines whose answers prove nothing.
+        await self.start(routes=[STREAM])
+        await self.order()
+        await self.ends("completed")
+        self.check_exposure()
+
+
 class Failures(RolloutCase):
     async def kill_coordinator(self, phase):
         """Close the coordinator once it announced a phase."""
