Check a route table before it is sent, and list roll-outs

Operators asked for a check of a configuration before it takes effect: errors, entries that can never match, contradictions, differences from the version in force. `lovageway rollouts list` shows what a daemon believes of each roll-out.

--- a/src/lovageway/cli.py
+++ b/src/lovageway/cli.py
@@ -3,7 +3,8 @@
 `serve` runs a daemon of lovageway's own interface: it accepts OpenAI completions and calls of
 plain services, and chooses a backend server for each. `relay` runs a daemon that forwards arbitrary
 HTTP requests by the route table of the platform in `lovageway.platform`. Their settings files have
-different formats: `check-config` checks those of `serve`, `check-settings` those of `relay`.
+different formats: `check-config` checks those of `serve`, `check-settings` those of `relay`,
+and `check-routes` a route table before it is sent.
 """
 
 from pathlib import Path
@@ -15,6 +16,8 @@
     limitcommands,
     logcommands,
     operator,
+    rolloutcommands,
+    routecommands,
     serving,
     settings,
     storecommands,
@@ -33,6 +36,8 @@
 app.add_typer(suspectcommands.app, name="suspects")
 app.add_typer(limitcommands.app, name="limits")
 app.add_typer(storecommands.app, name="store")
+app.add_typer(rolloutcommands.app, name="rollouts")
+app.command("check-routes")(routecommands.check_routes)
 
 
 @app.command()
--- a/tests/test_rollout_daemons.py
+++ b/tests/test_rollout_daemons.py
@@ -7,7 +7,9 @@
 
 from standins.caller import WAIT_S
 from standins.replica import Engine, Replica
+from typer.testing import CliRunner
 
+from lovageway.cli import app
 from lovageway.forwarding.model import RolloutPhase
 from tests.relayworld import BOUNDS, RelayCase, route
 from tests.test_streams import STREAM
@@ -268,6 +270,16 @@
         await self.until(ignored)
         self.assertEqual(len(ignored()), 1)
 
+    async def test_a_roll_out_is_listed_for_operators(self):
+        # Guards against operators who cannot see what a daemon believes of a roll-out.
+        await self.start()
+        await self.order()
+        await self.until(lambda: self.relays[1].state.rollouts.get("svc").phase is not None)
+        address = str(self.relays[1].cfg.metrics_listen)
+        shown = await asyncio.to_thread(CliRunner().invoke, app, ["rollouts", "list", address])
+        self.assertEqual(shown.exit_code, 0, shown.output)
+        self.assertRegex(shown.output, r"svc +v2 +canary")
+
     async def test_a_withdrawn_order_is_rolled_back(self):
         # Guards against new servers that stay in use after the operator took the order back.
         await self.start()
