Let daemons that start after the end of a roll-out tell others of it, and leave later runs alone

Cause: the age of an end that was found at the start was infinite, and cannot be sent: the daemon sent no more heartbeats. A coordinator that did not know a later order overwrote its status.

Change: such an end counts as an hour old; a status of a later run is left alone.

--- a/src/lovageway/forwarding/rollout/spread.py
+++ b/src/lovageway/forwarding/rollout/spread.py
@@ -20,6 +20,7 @@
 SYNC_INTERVAL_S = 1.0  # between reads of the status while a roll-out is in progress
 FINAL_SYNC_INTERVAL_S = 10.0  # after it ended, as long as FINAL_SYNC_S
 FINAL_SYNC_S = 60.0
+LONG_AGO_S = 3600.0  # assumed age of an end that was found at the start of this daemon
 RETRY_S = 0.3  # after a failed call
 
 
@@ -255,8 +256,8 @@
             self._report(state.rollouts.set_phase(rollout, status.phase, now), "status")
             return
         order = rollout.order
-        if order is None:
-            return
+        if order is None or (status is not None and status.began_ms > rollout.run.began_ms):
+            return  # a later order is not known here yet
         phase = RolloutPhase.CANARY if rollout.phase is None else rollout.phase
         if phase is RolloutPhase.SWITCH:
             decided = schedule.decide(self._facts(service, rollout, duty, now))
@@ -293,7 +294,7 @@
         change = state.rollouts.begin(rollout, run, status.phase, left_s, state.clock())
         if is_found and status.phase.is_final:
             # It ended before this daemon started, so the old servers are gone.
-            rollout.phase_since = float("-inf")
+            rollout.phase_since -= LONG_AGO_S
         self._report(change, "status" if is_found else "order")
 
     async def _write(self, service: str, version: int, status: RolloutStatus) -> None:
--- a/tests/test_rollout_daemons.py
+++ b/tests/test_rollout_daemons.py
@@ -235,6 +235,42 @@
         await self.ends("completed")
         self.check_exposure()
 
+    async def test_a_coordinator_that_wakes_takes_the_outcome_that_another_one_wrote(self):
+        # Guards against two coordinators of which one overwrites what the other ended.
+        await self.start()
+        await self.order()
+        await self.until(lambda: self.status().get("state") == "in_progress")
+        ended = {**self.status(), "state": "rolled_back"}
+        self.store.put("status", "rollout/svc", ended)
+        for relay in self.relays:
+            rollout = relay.state.rollouts.get("svc")
+            await self.until(lambda rollout=rollout: rollout.phase is RolloutPhase.HALTED)
+        self.assertEqual(self.status(), ended)
+
+    async def test_a_daemon_that_starts_after_the_end_uses_the_new_version(self):
+        # Guards against a daemon that begins the roll-out anew, or sends no more heartbeats, when
+        # all of them have restarted since its end.
+        await self.start()
+        await self.order()
+        await self.ends("completed")
+        await self.stop_calls()
+        for relay in self.relays:
+            await relay.close()
+        self.relays.clear()
+        relay = await self.start_relay(0)
+        await self.until(
+            lambda: (rollout := relay.state.rollouts.get("svc")) is not None
+            and rollout.phase is RolloutPhase.COMPLETED
+        )
+        relay._peers._rollout_spread.send_to(["127.0.1.9"], relay.state.clock(), repeat=True)
+        relay._peers.send_heartbeats()
+        self.assertEqual(relay.log.of("fault"), [])
+        self.assertEqual(self.status()["state"], "completed")
+        before = self.count(self.new)
+        for number in range(5):
+            self.assertEqual((await self.ask(attempt=f"after-{number}")).status, 200)
+        self.assertGreaterEqual(self.count(self.new) - before, 1)
+
     async def test_a_status_that_the_store_lost_is_written_again(self):
         # Guards against servers of a bad version that stay since the store lost the verdict.
         await self.start(lambda server, request: True)
