Begin a roll-out anew when its order is given again after the end

Cause: a daemon that had restarted, or heard of the earlier attempt after the new order, took the end of the first attempt for that of the second, so the order never began.

Change: what is heard of an ended run to the same version is ignored; the coordinator compares the order in the status with the one in force.

--- a/src/lovageway/forwarding/rollout/rollouts.py
+++ b/src/lovageway/forwarding/rollout/rollouts.py
@@ -36,6 +36,7 @@
         self.order = order
         self.to = to
         self.run: Run | None = None
+        self.after_ms = -1  # when an earlier run to the same version began, which has ended
         self.phase: RolloutPhase | None = None  # None until it is announced
         self.share = 0.0
         self.phase_since = 0.0
@@ -118,6 +119,8 @@
         barred = self._barred.setdefault(service, set())
         if known is not None and known.phase is not RolloutPhase.COMPLETED:
             barred.add(known.to)
+        if known is not None and known.run is not None and known.to == rollout.to:
+            rollout.after_ms = known.run.began_ms
         barred.discard(rollout.to)
         self._services[service] = rollout
 
@@ -163,7 +166,7 @@
                 return None
             rollout = Rollout(None, run.to)
             self._replace(service, rollout)
-        elif rollout.run is not None and run.began_ms < rollout.run.began_ms:
+        elif not is_newer and run != rollout.run or run.began_ms <= rollout.after_ms:
             return None
         sent_at = now - heard.age_s
         if rollout.run != run:
--- a/src/lovageway/forwarding/rollout/spread.py
+++ b/src/lovageway/forwarding/rollout/spread.py
@@ -247,10 +247,10 @@
         version = row.version if row is not None else 0
         status = records.rollout_status(row) if row is not None else None
         write = partial(self._write, service, version)
-        if rollout.run is None:
+        is_own = status is not None and _run(status) == rollout.run
+        if rollout.run is None or (is_own and self._is_repeated(rollout, status)):
             await self._begin(service, rollout, status, page.now_ms, write)
             return
-        is_own = status is not None and _run(status) == rollout.run
         if is_own and status is not None and status.phase.is_final:
             duty.saved, duty.saved_in = status.phase, self._era()
             self._report(state.rollouts.set_phase(rollout, status.phase, now), "status")
@@ -270,6 +270,14 @@
             change = state.rollouts.set_phase(rollout, phase, state.clock())
             self._report(change, "status written")
 
+    @staticmethod
+    def _is_repeated(rollout: Rollout, status: RolloutStatus | None) -> bool:
+        """Return whether the order was given again after the run that this daemon knows."""
+        order = rollout.order
+        if status is None or order is None or rollout.withdrawn:
+            return False
+        return status.phase.is_final and not _continues(status, order)
+
     async def _begin(
         self,
         service: str,
@@ -287,10 +295,12 @@
             phase = RolloutPhase.HALTED if rollout.withdrawn else RolloutPhase.CANARY
             status = RolloutStatus(phase, order, now_ms)
             await write(status)
-        if state.rollouts.get(service) is not rollout or rollout.run is not None:
-            return
+        if state.rollouts.get(service) is not rollout:
+            return  # another order replaced it during the call
         left_s = order.duration_s - (now_ms - status.began_ms) / 1000
         run = Run(service, order.to, status.began_ms)
+        if rollout.run == run:
+            return  # another daemon announced it during the call
         change = state.rollouts.begin(rollout, run, status.phase, left_s, state.clock())
         if is_found and status.phase.is_final:
             # It ended before this daemon started, so the old servers are gone.
--- a/tests/test_rollout_daemons.py
+++ b/tests/test_rollout_daemons.py
@@ -16,6 +16,7 @@
 
 CALLS_PER_S = 60
 DURATION_S = 12.0
+ORDER = {"service": "svc", "to": "v2"}
 
 
 def _never(server, request):
@@ -100,7 +101,7 @@
         self.statuses.append(status)
 
     async def order(self, to="v2", duration_s=DURATION_S, **fields):
-        known = {"service": self.service, "to": to, "duration_s": duration_s}
+        known = {**ORDER, "service": self.service, "to": to, "duration_s": duration_s}
         self.ordered_at = time.monotonic()
         self.store.put("op", f"rollout/{self.service}", {**known, **fields})
         for server in self.new:
@@ -254,6 +255,8 @@
         await self.order()
         await self.ends("completed")
         await self.stop_calls()
+        for server in self.old:  # which the platform stops then
+            self.store.put("servers", server.name, None)
         for relay in self.relays:
             await relay.close()
         self.relays.clear()
@@ -269,7 +272,7 @@
         before = self.count(self.new)
         for number in range(5):
             self.assertEqual((await self.ask(attempt=f"after-{number}")).status, 200)
-        self.assertGreaterEqual(self.count(self.new) - before, 1)
+        self.assertEqual(self.count(self.new) - before, 5)
 
     async def test_a_status_that_the_store_lost_is_written_again(self):
         # Guards against servers of a bad version that stay since the store lost the verdict.
@@ -284,6 +287,22 @@
 
 
 class Orders(RolloutCase):
+    async def test_an_order_that_is_given_again_after_its_end_begins_anew(self):
+        # Guards against a second attempt with the same version that ends with the first one's
+        # status, at daemons that know it and at one that has started since.
+        await self.start(lambda server, request: True)
+        await self.order()
+        await self.ends("rolled_back")
+        first = self.status()["began_ms"]
+        relay = self.coordinator()
+        number = self.relays.index(relay)
+        await relay.close()
+        self.relays[number] = await self.start_relay(number)
+        self.relays.pop()
+        self.store.put("op", "rollout/svc", {**ORDER, "duration_s": DURATION_S})
+        await self.until(lambda: self.status()["began_ms"] > first)
+        await self.ends("rolled_back")
+
     async def test_malformed_orders_are_reported_and_ignored(self):
         # Guards against an order that stops a daemon, or one that is taken for another.
         await self.start()
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -170,6 +170,13 @@
         self.hear(began_ms=3000, now=4.0)
         self.assertEqual(self.versions(4.0), ["v1", "v2"])
 
+    def test_what_is_heard_of_an_ended_run_does_not_end_the_next_one(self):
+        # Guards against an order that is given again and takes the end of the first attempt.
+        self.hear(RolloutPhase.HALTED, now=2.0)
+        self.order(number=9, now=3.0)
+        self.assertIsNone(self.hear(RolloutPhase.HALTED, now=3.5))
+        self.assertIsNone(self.rollouts.get("svc").phase)
+
     def test_an_announcement_may_come_before_its_order(self):
         # Guards against a roll-out that a slow row of the store holds up, and against two versions
         # that are both used while the rows arrive.
