--- a/src/lovageway/forwarding/rollout/rollouts.py
+++ b/src/lovageway/forwarding/rollout/rollouts.py
@@ -48,6 +48,13 @@
         self.exposure: Exposure | None = None
         self.answers = Answers(to)
 
+    @property
+    def service(self) -> str:
+        """Return the name of the service."""
+        if self.run is not None:
+            return self.run.service
+        return self.order.service if self.order is not None else ""
+
     @property
     def in_progress(self) -> bool:
         """Return whether it was announced and has not ended."""
@@ -105,7 +112,8 @@
         if known is not None and known.order is not None:
             same = known.order.has_same_terms(order)
             rewritten = known.order.revision.era != order.revision.era
-            if same and (rewritten or not known.withdrawn and not _has_ended(known)):
+            is_open = not known.withdrawn and not _has_ended(known)
+            if same and (rewritten or is_open):
                 known.order = order
                 return None
         if known is not None and known.order is None and known.to == order.to:
@@ -166,8 +174,8 @@
                 return None
             rollout = Rollout(None, run.to)
             self._replace(service, rollout)
-        elif not is_newer and run != rollout.run or run.began_ms <= rollout.after_ms:
-            return None
+        elif (not is_newer and run != rollout.run) or run.began_ms <= rollout.after_ms:
+            return None  # an earlier run, which has ended
         sent_at = now - heard.age_s
         if rollout.run != run:
             change = self.begin(rollout, run, heard.phase, heard.left_s, now)
@@ -199,10 +207,9 @@
             return None
         rollout.phase, rollout.phase_since = phase, now
         if phase is RolloutPhase.COMPLETED:
-            service = rollout.run.service if rollout.run is not None else ""
             rollout.stopped = frozenset(
                 entry.id
-                for entry in self._accepting(service)
+                for entry in self._accepting(rollout.service)
                 if entry.replica.version != rollout.to
             )
         return Change(rollout, before)
@@ -276,8 +283,7 @@
 
     def _others(self, rollout: Rollout) -> list[Entry]:
         """Return the servers of other versions that accept work."""
-        service = rollout.order.service if rollout.order is not None else ""
-        service = rollout.run.service if rollout.run is not None else service
+        service = rollout.service
         barred = self._barred.get(service, set())
         return [
             entry
--- a/src/lovageway/forwarding/rollout/spread.py
+++ b/src/lovageway/forwarding/rollout/spread.py
@@ -103,12 +103,11 @@
     def _log(self, change: Change, reason: str) -> None:
         rollout, state = change.rollout, self._state
         phase = rollout.phase.name.lower() if rollout.phase is not None else None
-        service = rollout.run.service if rollout.run is not None else rollout.to
-        state.telemetry.add("rollout_phases", service, str(phase))
+        state.telemetry.add("rollout_phases", rollout.service, str(phase))
         exposure = rollout.exposure
         state.log(
             "rollout",
-            service=service,
+            service=rollout.service,
             to=rollout.to,
             phase=phase,
             before=change.before.name.lower() if change.before is not None else None,
@@ -126,7 +125,7 @@
         """Report evidence, and coordinate the roll-outs of which this daemon comes first."""
         state = self._state
         for rollout in state.rollouts.all():
-            service = _service(rollout)
+            service = rollout.service
             leaders = state.members.leaders(names.ROLLOUT_PREFIX + service, COORDINATORS, now)
             if rollout.in_progress and self._is_report_due(service, rollout, now):
                 self._send_report(rollout, [ip for ip in leaders if ip != state.cfg.ip])
@@ -329,12 +328,6 @@
             raise StoreError(0, "another daemon wrote the status")
 
 
-def _service(rollout: Rollout) -> str:
-    if rollout.run is not None:
-        return rollout.run.service
-    return rollout.order.service if rollout.order is not None else ""
-
-
 def _run(status: RolloutStatus) -> Run:
     return Run(status.order.service, status.order.to, status.began_ms)
 
