--- a/tests/test_rollout_daemons.py
+++ b/tests/test_rollout_daemons.py
@@ -5,7 +5,6 @@
 import time
 from uuid import uuid4
 
-from standins.caller import WAIT_S
 from standins.replica import Engine, Replica
 from typer.testing import CliRunner
 
@@ -199,10 +198,12 @@
 class Failures(RolloutCase):
     async def kill_coordinator(self, phase):
         """Close the coordinator once it announced a phase."""
-        await self.until(
-            lambda: (rollout := self.coordinator().state.rollouts.get("svc")) is not None
-            and rollout.phase is phase
-        )
+        async with asyncio.timeout(3 * DURATION_S):
+            while True:
+                rollout = self.coordinator().state.rollouts.get("svc")
+                if rollout is not None and rollout.phase is phase:
+                    break
+                await asyncio.sleep(0.01)
         relay = self.coordinator()
         relay.stopped.set()
         await relay.close()
@@ -211,8 +212,7 @@
     async def check_takeover(self, phase):
         await self.start()
         await self.order()
-        async with asyncio.timeout(DURATION_S + WAIT_S):
-            await self.kill_coordinator(phase)
+        await self.kill_coordinator(phase)
         await self.ends("completed")
         self.check_exposure()
 
