Test a version that fails under load only, and that bad answers are why bad versions end

Guards against a version that is completed because few requests at a time do it no harm, and against a roll-back for another reason that looks like a verdict.

--- a/tests/test_rollout_daemons.py
+++ b/tests/test_rollout_daemons.py
@@ -14,6 +14,7 @@
 from tests.test_streams import STREAM
 
 CALLS_PER_S = 60
+WORK_S = 0.01  # of a request
 DURATION_S = 12.0
 ORDER = {"service": "svc", "to": "v2"}
 
@@ -25,6 +26,8 @@
 class Versioned(Replica):
     """A plain service with a version; a bad one fails the requests that `is_bad` picks."""
 
+    work_s = WORK_S
+
     def __init__(self, name, version, is_bad):
         super().__init__(name)
         self.version = version
@@ -37,7 +40,7 @@
         self.running += 1
         self.behaviour = "fail" if self.is_bad(self, request) else "ok"
         try:
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(self.work_s)
             return await super().run(request, attempt, writer)
         finally:
             self.running -= 1
@@ -128,6 +131,10 @@
         self.assertGreater(new, 0)
         self.assertLessEqual(new, 0.1 * total + 50)
 
+    def reasons(self):
+        """Return the reasons that the daemons logged for the phases."""
+        return [line["reason"] for relay in self.relays for line in relay.log.of("rollout")]
+
     def coordinator(self):
         leader = self.relays[0].state.members.leaders(
             "rollout/svc", 1, self.relays[0].state.clock()
@@ -155,6 +162,7 @@
         await self.order()
         await self.ends("rolled_back")
         self.check_exposure()
+        self.assertIn("bad answers", self.reasons())
         await asyncio.sleep(0.3)
         before = self.count(self.new)
         await asyncio.sleep(1.0)
@@ -169,6 +177,12 @@
         routes = [route(), route(name="b", prefix="/b/")]
         await self.check_bad(lambda server, request: request.path.startswith("/b/"), routes)
 
+    async def test_a_version_that_fails_under_load_only_is_rolled_back(self):
+        # Guards against a version that is completed because few requests at a time do it no harm.
+        Versioned.work_s = 0.3
+        self.addCleanup(setattr, Versioned, "work_s", WORK_S)
+        await self.check_bad(lambda server, request: server.running > 3)
+
     async def test_a_version_that_turns_bad_late_is_rolled_back(self):
         # Guards against a version that is completed for its first good answers.
         await self.check_bad(lambda server, request: len(server.times) > 8)
@@ -184,8 +198,7 @@
         await self.order()
         await self.ends("rolled_back")
         self.check_exposure()
-        reasons = [line for relay in self.relays for line in relay.log.of("rollout")]
-        self.assertIn("bad answers", [line["reason"] for line in reasons])
+        self.assertIn("bad answers", self.reasons())
 
     async def test_a_good_version_of_engines_is_completed(self):
         # Guards against engines whose answers prove nothing.
