Compute the decay of a server's slowness once, and name the new load patterns of placement

Cause: recording a figure repeated the formula that reads it, and the head of placement did not say what the costs of new engines and of a start answer. No change of behaviour.

--- a/src/lovageway/forwarding/placement.py
+++ b/src/lovageway/forwarding/placement.py
@@ -17,7 +17,9 @@
 
 A prompt that waits for its prefill delays the first token of the next one by its length, much more
 than a running generation does; so a burst is spread over the engines, including one that has just
-joined.
+joined. To daemons of other regions a new engine looks idle until its load is reported, and all of
+them would send there at once; so it costs them as much as several requests. After a restart of
+all daemons nobody knows any load; so each daemon begins with another engine of its region.
 
 Load pattern of plain services: short calls on few slots, some servers slow or failing part of
 their work while their health check passes. A call goes to the server with the least expected time,
--- a/src/lovageway/forwarding/replicas.py
+++ b/src/lovageway/forwarding/replicas.py
@@ -82,8 +82,7 @@
         """Record the load that the server reports."""
         if load.slowness is None:
             return
-        kept = float(0.5 ** ((now - self._slowness_at) / SLOWNESS_HALF_LIFE_S))
-        old = 1.0 + kept * (self._slowness - 1.0)
+        old = self.slowness(now)
         self._slowness = old + SLOWNESS_GAIN * (load.slowness - old)
         self._slowness_at = now
 
