Review case 7: a part that crashes servers at their first event is never held back

Requests with the part come every 1.5 s, no two alike; each server that begins to write an answer on it crashes after its first event.

TROUBLE=0: exit 0. CRASH_AT=head (a crash before the first event, for comparison): exit 0, 3 crashes.

--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -127,6 +127,7 @@
         super().__init__()
         self.name, self.zone = name, zone
         self.state = "ready"
+        self.is_down = False  # a server that crashed writes nothing
         self.sequence = 0
         self.born = round(time.time() * 1000)
         self.arrived = []  # (time, attempt id), also of those that were turned away
@@ -336,7 +337,8 @@
 
     async def _write_entry(self, server):
         while server.state != "ended":
-            self.store.put("servers", server.name, server.entry())
+            if not server.is_down:
+                self.write_entry(server)
             await asyncio.sleep(HEARTBEAT_S)
 
     def write_entry(self, server):
