--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -251,6 +251,13 @@
             role["run"].split(), cwd=ROOT, env=env, stdout=self._log, stderr=self._log
         )
 
+    def restart(self):
+        """Start the process again, as the platform does with one that has ended."""
+        self.process.wait()
+        self._log.close()
+        self._settings["bootstrap"] = False
+        self.start()
+
     def signal(self, number):
         """Send a signal to the process if it is still there."""
         if self.process is not None and self.process.poll() is None:
