Flood every listener of a forwarding daemon in tests, and run these tests alone

Change: the builders move to tests/crowd.py. The module-level bound, the crowd and the checks are as before; the memory is now checked during the crowd, too. tools.suite runs the modules of ALONE one after another, after the others.

--- a/tests/test_crowd_processes.py
+++ b/tests/test_crowd_processes.py
@@ -6,75 +6,39 @@
 import asyncio
 import contextlib
 import os
-import select
 import signal
-import socket
 import tempfile
 import unittest
 from pathlib import Path
 
 from soak.world import Daemon
-from standins.caller import HOST as NAME
-from standins.caller import KEY, WAIT_S, Client, free_ports
+from standins.caller import WAIT_S, Client, free_ports
 from standins.replica import Replica
 from standins.store import Store
 
+from lovageway.platform.names import METRICS_PORT
+from tests import crowd
 from tests.relayworld import config, route
 
 HOST = "127.0.4.1"
+SILENT = "127.0.4.2"  # where a daemon may run, so that this one sends messages to it
 MEMORY_MB = 64  # of the daemon; an idle one takes 27 MB
 CONNECTIONS = 200
 MAX_DESCRIPTORS = 2 * CONNECTIONS + 100  # each may have a connection to a server, too
 BYTES_AHEAD = 1 << 20  # that one connection sends without reading an answer
 HEAD_BYTES = 16384  # the limit that the configuration sets
-TURN_BYTES = 16384  # of a connection, before the next one has its turn
-QUIET_S = 1.0  # without room on any connection, after which the daemon reads no more
-
-
-def short_lines():
-    """Return requests within the limits whose heads consist of very many short lines."""
-    start = f"GET /a/x HTTP/1.1\r\nHost: {NAME}\r\nAttempt-Id: i\r\nAuthorization: Bearer {KEY}\r\n"
-    room = HEAD_BYTES - len(start) - 200
-    return (start + "a:b\r\n" * (room // 8) + "\r\n").encode()
-
-
-def odd_lines():
-    """Return requests within the limits whose heads have many different names and no values."""
-    start = f"GET /a/x HTTP/1.1\r\nHost: {NAME}\r\nAttempt-Id: i\r\nAuthorization: Bearer {KEY}\r\n"
-    room = HEAD_BYTES - len(start) - 200
-    lines = "".join(f"x{number:x}:\r\n" for number in range(room // 12))
-    return (start + lines + "\r\n").encode()
-
-
-def send_ahead(request, port):
-    """Send copies of a request on all connections in turn, as long as the daemon reads."""
-    left = {}
-    for _ in range(CONNECTIONS):
-        sock = socket.socket()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)  # answers stay at the daemon
-        sock.connect((HOST, port))
-        sock.setblocking(False)
-        left[sock] = request * (BYTES_AHEAD // len(request))
-    socks = list(left)
-    while left:
-        _, writable, _ = select.select([], list(left), [], QUIET_S)
-        if not writable:
-            break  # the daemon reads no more
-        for sock in writable:
-            try:
-                left[sock] = left[sock][sock.send(left[sock][:TURN_BYTES]) :]
-            except BlockingIOError:
-                continue
-            except OSError:
-                left[sock] = b""  # the daemon closed the connection
-            if not left[sock]:
-                del left[sock]
-    return socks
+BODY_BYTES = 4 << 20  # the limit that the configuration sets
+IDLE_TIMEOUT_MS = 60_000
+STOP_TIMEOUT_S = 30.0  # a planned stop takes the grace period of 4 s, and less than 2 s more
+ANSWER_BYTES = 4_000_000  # more than the kernel keeps for a connection
 
 
-class Crowd(unittest.IsolatedAsyncioTestCase):
+class CrowdCase(unittest.IsolatedAsyncioTestCase):
     """Guards against a daemon that runs out of memory for clients that nobody controls."""
 
+    max_descriptors = MAX_DESCRIPTORS
+    file_descriptors = 1000
+
     async def asyncSetUp(self):
         self.store = await Store(HOST).start()
         self.addAsyncCleanup(self.store.stop)
@@ -85,15 +49,19 @@
         self.addAsyncCleanup(self.server.stop)
         self.store.put("servers", "i-1", self.server.entry(slots=500))
         limits = {**config(1)["limits"], "max_header_bytes": HEAD_BYTES}
+        limits |= {"max_body_bytes": BODY_BYTES, "idle_timeout_ms": IDLE_TIMEOUT_MS}
         self.store.put("op", "config", config(1, [route()], limits=limits))
-        ports = free_ports([HOST], 6)
-        self.daemon = Daemon(0, HOST, ports, [HOST], self.store.address, Path(folder.name))
-        self.daemon.settings["limits"] = {"memory_mb": MEMORY_MB, "file_descriptors": 1000}
+        self.ports = free_ports([HOST], 6)
+        self.daemon = Daemon(
+            0, HOST, self.ports, [HOST, SILENT], self.store.address, Path(folder.name)
+        )
+        self.daemon.settings["limits"] = {
+            "memory_mb": MEMORY_MB,
+            "file_descriptors": self.file_descriptors,
+        }
         self.daemon.start()
         self.addAsyncCleanup(self.daemon.end, signal.SIGKILL, WAIT_S)
-        async with asyncio.timeout(2 * WAIT_S):
-            while not await self.is_serving():
-                await asyncio.sleep(0.05)
+        await crowd.wait_until(self.is_serving, 2 * WAIT_S)
 
     async def is_serving(self):
         with contextlib.suppress(OSError, EOFError):
@@ -105,41 +73,132 @@
                 client.close()
         return False
 
-    async def flood(self, request, port):
-        """Send one kind of request on all connections at once, and read no answer."""
-        socks = await asyncio.to_thread(send_ahead, request, port)
+    async def flood(self, data, port, connections=CONNECTIONS):
+        """Send the same data on all connections at once, and read no answer."""
+        socks = await asyncio.to_thread(crowd.send_ahead, data, HOST, port, connections)
+        try:
+            await self.check()
+        finally:
+            for sock in socks:
+                sock.close()
+        await crowd.wait_until(self.is_serving, WAIT_S)
+        await self.check()
+
+    async def check(self):
+        """Check that the process lives within its memory and its descriptors."""
         self.daemon.check()
         descriptors = len(os.listdir(f"/proc/{self.daemon.process.pid}/fd"))
-        for sock in socks:
-            sock.close()
-        async with asyncio.timeout(WAIT_S):
-            while not await self.is_serving():
-                await asyncio.sleep(0.05)
-        self.daemon.check()
         self.assertEqual(self.daemon.unexpected_exit_codes, [])
         self.assertLess(self.daemon.peak_mb, MEMORY_MB)
-        self.assertLess(descriptors, MAX_DESCRIPTORS)
+        self.assertLess(descriptors, self.max_descriptors)
+
+    async def stop(self):
+        """Check that a planned stop ends the process."""
+        self.assertEqual(await self.daemon.end(signal.SIGTERM, STOP_TIMEOUT_S), 0)
+
+
+class Crowd(CrowdCase):
+    """Guards against heads, bodies and requests ahead that take more than their size."""
 
     async def test_heads_of_very_many_short_lines(self):
-        await self.flood(short_lines(), self.daemon.ports[0])
+        request = crowd.short_lines(HEAD_BYTES)
+        await self.flood(crowd.repeated(request, BYTES_AHEAD), self.ports[0])
 
     async def test_heads_of_odd_lines(self):
-        await self.flood(odd_lines(), self.daemon.ports[0])
+        request = crowd.odd_lines(HEAD_BYTES)
+        await self.flood(crowd.repeated(request, BYTES_AHEAD), self.ports[0])
 
     async def test_heads_that_do_not_end(self):
-        await self.flood(short_lines()[:-4], self.daemon.ports[0])
+        request = crowd.short_lines(HEAD_BYTES)[:-4]
+        await self.flood(crowd.repeated(request, BYTES_AHEAD), self.ports[0])
+
+    async def test_heads_that_ask_often_whether_their_body_may_come(self):
+        request = crowd.expecting_lines(HEAD_BYTES)
+        await self.flood(crowd.repeated(request, BYTES_AHEAD), self.ports[0])
 
     async def test_requests_sent_ahead_without_the_usual_headers(self):
-        await self.flood(b"GET /a/x HTTP/1.1\r\n\r\n" * 50, self.daemon.ports[0])
+        request = b"GET /a/x HTTP/1.1\r\n\r\n"
+        await self.flood(crowd.repeated(request, BYTES_AHEAD), self.ports[0])
 
     async def test_requests_sent_ahead_to_the_readiness_path(self):
-        await self.flood(b"GET /readiness HTTP/1.1\r\n\r\n" * 50, self.daemon.ports[1])
+        request = b"GET /readiness HTTP/1.1\r\n\r\n"
+        await self.flood(crowd.repeated(request, BYTES_AHEAD), self.ports[1])
+
+    async def test_requests_sent_ahead_to_the_directory(self):
+        request = b"GET /resolution?name=h.example HTTP/1.1\r\n\r\n"
+        await self.flood(crowd.repeated(request, BYTES_AHEAD), self.ports[3])
+
+    async def test_requests_sent_ahead_to_the_metrics(self):
+        request = b"GET /metrics HTTP/1.1\r\n\r\n"
+        await self.flood(crowd.repeated(request, BYTES_AHEAD), METRICS_PORT)
+
+    async def test_requests_sent_ahead_for_the_state_dump(self):
+        request = b"GET /dump HTTP/1.1\r\n\r\n"
+        await self.flood(crowd.repeated(request, BYTES_AHEAD), METRICS_PORT)
+
+    async def test_heads_of_odd_lines_at_the_addresses_that_forward_nothing(self):
+        request = crowd.odd_lines(HEAD_BYTES, "GET /readiness HTTP/1.1\r\n")
+        for port in (self.ports[1], self.ports[3], METRICS_PORT):
+            await self.flood(crowd.repeated(request, BYTES_AHEAD), port)
+
+    async def test_bodies_that_do_not_end(self):
+        head = f"POST /a/x HTTP/1.1\r\n{crowd.USUAL_LINES}Content-Length: {BODY_BYTES}\r\n\r\n"
+        await self.flood(head.encode() + b"x" * (BODY_BYTES - 1), self.ports[0])
+
+    async def test_bodies_in_chunks_of_one_byte(self):
+        head = f"POST /a/x HTTP/1.1\r\n{crowd.USUAL_LINES}Transfer-Encoding: chunked\r\n\r\n"
+        data = head.encode() + b"1;" + b"e" * 90 + b"\r\nx\r\n"
+        await self.flood(data + b"1\r\nx\r\n" * (BYTES_AHEAD // 6), self.ports[0])
+
+    async def test_bodies_at_the_addresses_that_forward_nothing(self):
+        head = f"POST /readiness HTTP/1.1\r\nContent-Length: {BODY_BYTES}\r\n\r\n"
+        for port in (self.ports[1], self.ports[3], METRICS_PORT):
+            await self.flood(head.encode() + b"x" * (BODY_BYTES - 1), port)
+
+    async def test_long_ids_in_the_lines_of_the_log(self):
+        start = "GET /a/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: "
+        head = start + "i" * (HEAD_BYTES - 200) + "\r\n\r\n"
+        await self.flood(crowd.repeated(head.encode(), BYTES_AHEAD), self.ports[0])
 
     async def test_one_request_of_many_lines_is_served_in_calm(self):
         # Guards against a limit that a single request within the operator's limits meets.
-        for head in (short_lines(), odd_lines()):
-            reader, writer = await asyncio.open_connection(HOST, self.daemon.ports[0])
-            writer.write(head)
-            async with asyncio.timeout(WAIT_S):
-                self.assertIn(b" 200 ", await reader.readline())
-            writer.close()
+        for head in (crowd.short_lines(HEAD_BYTES), crowd.odd_lines(HEAD_BYTES)):
+            self.assertIn(" 200 ", await crowd.answer(HOST, self.ports[0], head, WAIT_S))
+
+    async def test_one_large_body_is_served_in_calm(self):
+        # Guards against a limit that a single request within the operator's limits meets.
+        head = f"POST /a/x HTTP/1.1\r\n{crowd.USUAL_LINES}Content-Length: {BODY_BYTES}\r\n\r\n"
+        data = head.encode() + b"x" * BODY_BYTES
+        self.assertIn(" 200 ", await crowd.answer(HOST, self.ports[0], data, WAIT_S))
+
+
+class Stops(CrowdCase):
+    """Guards against clients that keep a daemon from ending."""
+
+    async def test_a_stop_does_not_wait_for_clients_that_read_nothing(self):
+        request = b"GET /a/x HTTP/1.1\r\n\r\n"
+        data = crowd.repeated(request, BYTES_AHEAD)
+        await self.stop_beside(data, data + b"\0\0\0")
+
+    async def test_a_stop_does_not_wait_for_an_unread_answer_before_bad_input(self):
+        self.server.body = b"x" * ANSWER_BYTES
+        await self.stop_beside(f"GET /a/x HTTP/1.1\r\n{crowd.USUAL_LINES}\r\n".encode() + b"\0")
+
+    async def test_a_stop_does_not_wait_for_the_rest_of_a_request(self):
+        head = f"POST /a/x HTTP/1.1\r\n{crowd.USUAL_LINES}Content-Length: 99\r\n\r\n"
+        await self.stop_beside(head[:9].encode(), head.encode(), b"")
+
+    async def stop_beside(self, *inputs):
+        """Stop the daemon while connections with each input are open and read nothing."""
+        socks = []
+        for data in inputs:
+            found = await asyncio.to_thread(
+                crowd.send_ahead, data, HOST, self.ports[0], CONNECTIONS // len(inputs)
+            )
+            socks += found
+        try:
+            await self.check()
+            await self.stop()
+        finally:
+            for sock in socks:
+                sock.close()
--- a/tools/suite.py
+++ b/tools/suite.py
@@ -1,4 +1,4 @@
-"""Runs the test modules in parallel, each in a process of its own.
+"""Runs the test modules in parallel, each in a process of its own, and some of them alone.
 
 ``python -m tools.suite [MODULE ...]`` prints the output of the modules in order and, at the end,
 the totals over all modules. The exit code is 1 if a module failed or printed no summary line.
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import NamedTuple
@@ -28,6 +29,8 @@
     "test_binary",
     "test_operators_guide",
 )
+# Modules that flood a process with input and bound its memory; they run alone, after the others.
+ALONE = ("test_crowd_processes", "test_crowd_serve_processes")
 
 
 class Result(NamedTuple):
@@ -67,16 +70,22 @@
     return Result(module, code, counts, time.monotonic() - began, output)  # type: ignore[arg-type]
 
 
+def run_modules(names: list[str]) -> Iterator[Result]:
+    """Run modules in parallel, then those of ALONE one after another; yield their results."""
+    with ThreadPoolExecutor(WORKERS) as pool:
+        yield from pool.map(run_module, [name for name in names if name not in ALONE])
+    yield from map(run_module, [name for name in names if name in ALONE])
+
+
 def main(names: list[str]) -> int:
     """Run the modules, print their output and totals, and return the exit code."""
     totals, failed_modules = [0, 0, 0], []
-    with ThreadPoolExecutor(WORKERS) as pool:
-        for result in pool.map(run_module, names or list_modules()):
-            print(f"--- {result.module} ({result.seconds:.0f} s)\n{result.output}", flush=True)
-            if result.code != 0 or result.counts is None:
-                failed_modules.append(result.module)
-            for i, count in enumerate(result.counts or (0, 0, 0)):
-                totals[i] += count
+    for result in run_modules(names or list_modules()):
+        print(f"--- {result.module} ({result.seconds:.0f} s)\n{result.output}", flush=True)
+        if result.code != 0 or result.counts is None:
+            failed_modules.append(result.module)
+        for i, count in enumerate(result.counts or (0, 0, 0)):
+            totals[i] += count
     if failed_modules:
         print(f"modules that failed: {', '.join(failed_modules)}")
     passed, failed, skipped = totals
