Bound the numbers of a request where they are decoded, and let no part of the periodic work end the others

Cause: a request with a size of 2^64 - 1 tokens entered the load that heartbeats report, and msgpack carries at most 64 bits; the encoder's OverflowError ended each later tick at that point. What came after it was never done: timeouts, the queue, and the end of a planned stop. Other numbers of a client (10^400 as a size or a Deadline-Ms) ended their request with an OverflowError of float, so its client got a closed connection in place of an answer. Sizes below 0 were accepted.

Callers saw: a stopping daemon that hangs until it is killed, and waiting requests without an answer.

Change: token counts have at most nine digits, others are refused with 400; a deadline above 10^9 ms counts as that. Each part of the periodic work runs on its own; one that fails is logged, counted (periodic_faults) and repeated by the next tick.

--- a/src/lovageway/forwarding/relay.py
+++ b/src/lovageway/forwarding/relay.py
@@ -5,7 +5,7 @@
 import os
 import signal
 import time
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -26,6 +26,7 @@
 TICK_S = 0.25  # interval of the periodic work
 SETTINGS_CHECK_S = 1.0  # interval of the check whether the settings file has changed
 PAUSE_THRESHOLD_S = 1.0  # a longer interval between ticks means that the process was suspended
+MAX_CAUSE = 300  # characters of an error in a line of the log
 DUMP_PATH = "/dump"  # on the listener of the metrics
 
 
@@ -180,10 +181,7 @@
             if now - self._last_tick_at > PAUSE_THRESHOLD_S:
                 self._on_pause(now - self._last_tick_at)
             self._last_tick_at = now
-            try:
-                self._tick(now)
-            except Exception as exc:  # the next tick repeats the work
-                self.log("fault", cause=repr(exc))
+            self._tick(now)
             if now - last_settings > SETTINGS_CHECK_S:
                 last_settings = now
                 if self._read_settings_mtime() != self._settings_mtime:
@@ -191,25 +189,45 @@
             await asyncio.sleep(TICK_S)
 
     def _tick(self, now: float) -> None:
+        """Run all periodic work; a part that fails is repeated by the next tick."""
+        self._ticks += 1
+        for part, run in self._periodic_work().items():
+            try:
+                run(now)
+            except Exception as exc:
+                self.state.telemetry.add("periodic_faults", part)
+                self.log("fault", part=part, cause=repr(exc)[:MAX_CAUSE])
+        self.log.flush()
+
+    def _periodic_work(self) -> dict[str, Callable[[float], object]]:
+        """Return the parts of the periodic work in their order, by name."""
         state = self.state
-        self._peers.tick(now)
-        state.members.tick(now)
-        state.load_tracker.forget(now)
-        state.migration_schedule.tick(now)
-        state.pool.close_expired()
+        return {
+            "peers": self._peers.tick,
+            "members": state.members.tick,
+            "load": state.load_tracker.forget,
+            "migrations": state.migration_schedule.tick,
+            "pool": lambda _: state.pool.close_expired(),
+            "timeouts": self._check_timeouts,
+            "heartbeats": self._send_heartbeats,
+            "queue": lambda _: state.pump(),
+            "stop": self._check_stopped,
+        }
+
+    def _check_timeouts(self, now: float) -> None:
         for listener in self._listeners:
-            close_idle = listener is self._frontend and state.lifecycle.closes_idle_connections(now)
+            is_frontend = listener is self._frontend
+            close_idle = is_frontend and self.state.lifecycle.closes_idle_connections(now)
             for conn in list(listener.conns):
                 conn.check_timeouts(now, close_idle=close_idle)
-        self._ticks += 1
-        if self._ticks % 2 or not state.members.is_large(now):
+
+    def _send_heartbeats(self, now: float) -> None:
+        if self._ticks % 2 or not self.state.members.is_large(now):
             self._peers.send_heartbeats()
-        state.pump()
-        self.log.flush()
-        if state.lifecycle.leaving:
-            self._check_stopped(now)
 
     def _check_stopped(self, now: float) -> None:
+        if not self.state.lifecycle.leaving:
+            return
         if now >= self.state.lifecycle.answer_by:
             self._frontend.give_up_requests()
         if self.state.lifecycle.accepts_connections(now):
--- a/src/lovageway/forwarding/telemetry.py
+++ b/src/lovageway/forwarding/telemetry.py
@@ -37,6 +37,7 @@
     ),
     "generation_moves": ("Moves of running generations, by result.", ("result",)),
     "protocol_errors": ("Client input that could not be served, by status.", ("status",)),
+    "periodic_faults": ("Parts of the periodic work that failed, by part.", ("part",)),
     "rows_taken": ("Rows that changed what the daemon knows, by source.", ("source",)),
     "rows_unreadable": ("Rows that could not be decoded, by table.", ("table",)),
     "datagrams_rejected": ("Datagrams from other daemons that were dropped.", ("reason",)),
--- a/src/lovageway/platform/heads.py
+++ b/src/lovageway/platform/heads.py
@@ -24,6 +24,8 @@
 Headers = Sequence[tuple[str, str]]
 _DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 _COUNT = re.compile(r"[0-9]{1,9}")
+MAX_SHOWN = 80  # characters of a malformed value in an error
+MAX_DEADLINE_MS = 10**9  # a later deadline has no effect: the time limits of routes are shorter
 # A server that works outside this range of its usual speed would not answer any more.
 MIN_SLOWNESS_PERCENT, MAX_SLOWNESS_PERCENT = 1.0, 10_000.0
 
@@ -124,7 +126,7 @@
     if value is None:
         return None
     try:
-        return max(0, int(value)) * MS
+        return min(max(0, int(value)), MAX_DEADLINE_MS) * MS
     except ValueError as exc:
         raise BadHeadError("Deadline-Ms is a whole number of milliseconds") from exc
 
@@ -141,22 +143,37 @@
     if tokens is None:
         return None
     try:
-        prompt, limit = (int(part) for part in tokens.split(","))
-        hint = int(_single_value(headers, names.LENGTH_HINT) or 0)
+        prompt, limit = (_count(part) for part in tokens.split(","))
+        hint = _count(_single_value(headers, names.LENGTH_HINT) or "0")
         parts = tuple(
             _part(text)
             for text in (_single_value(headers, names.PROMPT_PARTS) or "").split(",")
             if text
         )
     except ValueError as exc:
-        raise BadHeadError("sizes and parts of a prompt are whole numbers of tokens") from exc
+        raise BadHeadError(
+            "sizes and parts of a prompt are whole numbers of tokens, of at most nine digits"
+        ) from exc
     return Generation(prompt, limit, hint, parts)
 
 
 def _part(text: str) -> tuple[str, int]:
     """Decode "NAME:TOKENS", a part of a prompt and its size."""
     part, _, size = text.strip().rpartition(":")
-    return part, int(size)
+    return part, _count(size)
+
+
+def _count(text: str) -> int:
+    """Decode a number of tokens.
+
+    Raises
+    ------
+    ValueError
+        It is not a number, or too large for the messages that report sums of such numbers.
+    """
+    if not _COUNT.fullmatch(text.strip()):
+        raise ValueError(f"{text[:MAX_SHOWN]!r} is no number of tokens")
+    return int(text)
 
 
 class Forwarded(NamedTuple):
--- a/tests/test_crowd_processes.py
+++ b/tests/test_crowd_processes.py
@@ -13,7 +13,7 @@
 
 from soak.world import Daemon
 from standins.caller import WAIT_S, Client, free_ports
-from standins.replica import Replica
+from standins.replica import Engine, Replica
 from standins.store import Store
 
 from lovageway.platform.names import METRICS_PORT
@@ -31,6 +31,13 @@
 IDLE_TIMEOUT_MS = 60_000
 STOP_TIMEOUT_S = 30.0  # a planned stop takes the grace period of 4 s, and less than 2 s more
 ANSWER_BYTES = 4_000_000  # more than the kernel keeps for a connection
+ROUTES = [
+    route(),
+    route(name="s", prefix="/s/", route_kind="streaming", service="llm", stream_resume=True),
+]
+STREAM = f"GET /s/x HTTP/1.1\r\n{crowd.USUAL_LINES}Token-Usage: 10,10\r\n\r\n"
+EVENTS, EVENT_S = 40, 0.05  # of a stream, which thus ends within the grace period
+HUGE = (2**63, 2**64 - 1, 10**30, 10**400, -(2**63) - 1, -(10**400))
 
 
 class CrowdCase(unittest.IsolatedAsyncioTestCase):
@@ -50,7 +57,8 @@
         self.store.put("servers", "i-1", self.server.entry(slots=500))
         limits = {**config(1)["limits"], "max_header_bytes": HEAD_BYTES}
         limits |= {"max_body_bytes": BODY_BYTES, "idle_timeout_ms": IDLE_TIMEOUT_MS}
-        self.store.put("op", "config", config(1, [route()], limits=limits))
+        self.store.put("op", "config", config(1, ROUTES, limits=limits))
+        self.fill_store()
         self.ports = free_ports([HOST], 6)
         self.daemon = Daemon(
             0, HOST, self.ports, [HOST, SILENT], self.store.address, Path(folder.name)
@@ -63,6 +71,9 @@
         self.addAsyncCleanup(self.daemon.end, signal.SIGKILL, WAIT_S)
         await crowd.wait_until(self.is_serving, 2 * WAIT_S)
 
+    def fill_store(self):
+        """Put further rows into the store before the daemon starts."""
+
     async def is_serving(self):
         with contextlib.suppress(OSError, EOFError):
             client = Client(*await asyncio.open_connection(HOST, self.daemon.ports[0]))
@@ -202,3 +213,63 @@
         finally:
             for sock in socks:
                 sock.close()
+
+
+class Numbers(CrowdCase):
+    """Guards against numbers that a client chose and that end the daemon's periodic work."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.engine = Engine("e-1", events=EVENTS, event_interval_s=EVENT_S)
+        await self.engine.start()
+        self.addAsyncCleanup(self.engine.stop)
+        self.store.put("servers", "e-1", self.engine.entry(slots=500))
+        await crowd.wait_until(lambda: self.has_status(STREAM, 200), WAIT_S)
+
+    async def has_status(self, head, status):
+        line = await crowd.answer(HOST, self.ports[0], head.encode(), WAIT_S)
+        return line.split(" ")[1:2] == [str(status)]
+
+    async def flood_with(self, start, *lines):
+        """Send requests with header lines, each with every huge number, and stop the daemon."""
+        heads = []
+        for number in HUGE:
+            for line in lines:
+                heads.append(f"{start}{line.replace('N', str(number))}\r\n\r\n".encode())
+        socks = []
+        for head in heads:
+            socks += await asyncio.to_thread(crowd.send_ahead, head, HOST, self.ports[0], 1)
+        try:
+            await crowd.wait_until(self.is_serving, WAIT_S)
+            await self.check()
+            await self.stop()
+        finally:
+            for sock in socks:
+                sock.close()
+        self.assertFalse('"fault"' in self.daemon.log.read_text(), "the daemon logged a fault")
+
+    async def test_sizes_of_generations(self):
+        await self.flood_with(
+            f"GET /s/x HTTP/1.1\r\n{crowd.USUAL_LINES}",
+            "Token-Usage: N,1",
+            "Token-Usage: 1,N",
+            "Token-Usage: N,N",
+            "Token-Usage: 1,1\r\nLength-Hint: N",
+            "Token-Usage: 1,1\r\nPrompt-Prefix: p:N,q:1",
+        )
+
+    async def test_times_and_positions(self):
+        await self.flood_with(
+            f"GET /s/x HTTP/1.1\r\n{crowd.USUAL_LINES}",
+            "Token-Usage: 1,1\r\nDeadline-Ms: N",
+            "Token-Usage: 1,1\r\nLast-Event-Id: N",
+        )
+
+    async def test_numbers_of_calls(self):
+        await self.flood_with(
+            f"GET /a/x HTTP/1.1\r\n{crowd.USUAL_LINES}",
+            "Deadline-Ms: N",
+            "Last-Event-Id: N",
+            "Content-Length: N",
+            "Token-Usage: N,N",
+        )
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -35,6 +35,9 @@
     "platform": {"address": "10.200.1.7:8742", "writes_per_s": 400, "reads_per_s": 2000},
 }
 
+NUMBER = r" ?[-+]?[0-9][0-9_]{0,11}(e[0-9]{1,3})? ?"
+NUMBER_FIELDS = ("Token-Usage", "Length-Hint", "Prompt-Prefix", "Deadline-Ms")
+
 
 class Settings(unittest.TestCase):
     def load(self, fields):
@@ -227,6 +230,39 @@
     def request(self, *more):
         return heads.request("POST", "/a/", [*self.REQUEST, *more])
 
+    def test_numbers_of_a_request_are_within_their_bounds(self):
+        # Guards against numbers that no later message can carry and no clock can add.
+        for number in (-1, 10**9, 2**63, 2**64 - 1, 10**30, 10**400):
+            for more in (
+                [("Token-Usage", f"{number},1")],
+                [("Token-Usage", f"1,{number}")],
+                [("Token-Usage", "1,1"), ("Length-Hint", str(number))],
+                [("Token-Usage", "1,1"), ("Prompt-Prefix", f"a:{number},b:1")],
+            ):
+                with self.assertRaises(heads.BadHeadError):
+                    self.request(*more)
+            deadline_s = self.request(("Deadline-Ms", str(number))).deadline_s
+            self.assertTrue(0 <= deadline_s <= 10**6)
+
+    @settings(derandomize=True, max_examples=300)
+    @given(
+        st.from_regex(rf"{NUMBER},{NUMBER}", fullmatch=True),
+        st.from_regex(NUMBER, fullmatch=True),
+        st.from_regex(rf"(p:{NUMBER},?){{0,3}}", fullmatch=True),
+        st.from_regex(NUMBER, fullmatch=True),
+    )
+    def test_any_numbers_of_a_request_are_refused_or_bounded(self, sizes, hint, parts, deadline):
+        fields = zip(NUMBER_FIELDS, (sizes, hint, parts, deadline), strict=True)
+        try:
+            found = self.request(*fields)
+        except heads.BadHeadError:
+            return
+        self.assertTrue(found.deadline_s is None or 0 <= found.deadline_s <= 10**6)
+        generation = found.generation
+        counts = [generation.prompt, generation.output_limit, generation.output_hint]
+        counts += [size for _, size in generation.parts]
+        self.assertTrue(all(0 <= count < 10**9 for count in counts))
+
     def test_a_generation_is_decoded(self):
         found = self.request(
             ("Token-Usage", "1460,80"), ("Length-Hint", "40"), ("Prompt-Prefix", "a:800,b:40")
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -50,6 +50,19 @@
         self.assertEqual((dump["config_version"], dump["servers"][0]["id"]), (1, "i-1"))
 
 
+class PeriodicWork(RelayCase):
+    async def test_a_part_that_fails_does_not_end_the_others(self):
+        # Guards against a daemon that answers requests but does not stop any more.
+        relay = await self.start_relay()
+        with mock.patch.object(relay.state.members, "tick", side_effect=OverflowError("too large")):
+            relay.stop()
+            await self.until(relay.stopped.is_set)
+        faults = [line["part"] for line in relay.log.of("fault")]
+        self.assertEqual(set(faults), {"members"})
+        reply = relay.state.telemetry.text()
+        self.assertIn(b'lovageway_periodic_faults_total{part="members"}', reply)
+
+
 class Fleet(RelayCase):
     daemons = 3
 
