Let idle client connections give way to requests

Cause: idle connections may take all of the memory for client connections. A new one took the place of an idle one, but its request then needed about 15 KB more, and nothing gave way to a request.

Callers saw: 503 at the frontend, the directory, readiness and metrics of that daemon for as long as idle connections were open.

Change: ConnectionMemory keeps the connections that are not in use in the order of their last activity, those whose clients read no answers apart, and closes them one by one until a request or a new connection fits. The memory of a closed connection is released at once. To find the connection to close no longer takes a pass over all of them.

--- a/src/lovageway/forwarding/connectionmemory.py
+++ b/src/lovageway/forwarding/connectionmemory.py
@@ -7,10 +7,11 @@
 that run.
 
 Where the memory does not suffice, clients with large heads are refused first, so that ordinary
-ones, which need a few kilobytes, go on. A new connection takes the place of one that is not in use.
+ones, which need a few kilobytes, go on. A new connection, and a request that is not large, take the
+place of connections that are not in use: first of those whose clients read no answers, then of
+those that were inactive for the longest time.
 """
 
-from collections.abc import Iterable
 from typing import Protocol
 
 from lovageway.forwarding.memorybudget import DEFAULT_MEMORY_MB
@@ -28,8 +29,6 @@
 class Connection(Protocol):
     """A client connection that may have to give way."""
 
-    last_active_at: float
-
     @property
     def is_in_use(self) -> bool:
         """Return whether a request of it is being served."""
@@ -39,7 +38,7 @@
         """Return whether its client does not read the answers."""
 
     def close_unused(self) -> None:
-        """Close it, without an answer."""
+        """Close it without an answer, and release its memory."""
 
 
 class ConnectionMemory:
@@ -59,10 +58,13 @@
         self.reserved = 0
         self.connections = 0
         self.refused = 0  # requests and connections
-        self.evicted = 0  # connections that were closed for new ones
+        self.evicted = 0  # connections that were closed for new ones or for requests
+        # Connections that are not in use, the least recently active first.
+        self._unread: dict[Connection, None] = {}
+        self._resting: dict[Connection, None] = {}
 
-    def reserve(self, size: int, held: int) -> bool:
-        """Reserve memory for a connection.
+    def reserve(self, size: int, held: int, conn: Connection) -> bool:
+        """Reserve memory for a connection, in place of others if necessary.
 
         Parameters
         ----------
@@ -74,10 +76,12 @@
         bool
             Whether there was enough memory; if not, nothing was reserved.
         """
-        share = LARGE_SHARE if held + size > LARGE_BYTES else 1.0
-        if self.reserved + size > share * self.max_bytes:
-            self.refused += 1
-            return False
+        is_large = held + size > LARGE_BYTES
+        limit = (LARGE_SHARE if is_large else 1.0) * self.max_bytes
+        while self.reserved + size > limit:
+            if is_large or not self._evict(conn):
+                self.refused += 1
+                return False
         self.reserved += size
         return True
 
@@ -85,7 +89,7 @@
         """Release reserved memory."""
         self.reserved -= size
 
-    def admit(self, others: Iterable[Connection]) -> bool:
+    def admit(self, conn: Connection) -> bool:
         """Reserve memory for a new connection, in place of another one if necessary.
 
         Returns
@@ -93,26 +97,44 @@
         bool
             False if all others are in use; then nothing was reserved.
         """
-        if not self._has_place():
-            unused = [conn for conn in others if not conn.is_in_use]
-            if not unused:
+        while not self._has_place():
+            if not self._evict(conn):
                 self.refused += 1
                 return False
-            self.evicted += 1
-            # It counts until its end has been noticed, in the next pass of the event loop.
-            min(unused, key=lambda conn: (not conn.is_unread, conn.last_active_at)).close_unused()
         self.connections += 1
         self.reserved += CONNECTION_BYTES
+        self.on_activity(conn)
         return True
 
+    def on_activity(self, conn: Connection) -> None:
+        """Record that an admitted connection was active, or came into use or out of use."""
+        self._forget(conn)
+        if not conn.is_in_use:
+            (self._unread if conn.is_unread else self._resting)[conn] = None
+
+    def _forget(self, conn: Connection) -> None:
+        self._unread.pop(conn, None)
+        self._resting.pop(conn, None)
+
+    def _evict(self, beneficiary: Connection) -> bool:
+        """Close a connection that is not in use; return False if there is none."""
+        for group in (self._unread, self._resting):
+            for conn in group:
+                if conn is not beneficiary:
+                    self.evicted += 1
+                    conn.close_unused()
+                    return True
+        return False
+
     def _has_place(self) -> bool:
         return (
             self.connections < self.max_connections
             and self.reserved + CONNECTION_BYTES <= self.max_bytes
         )
 
-    def leave(self) -> None:
+    def leave(self, conn: Connection) -> None:
         """Release the memory of a connection that was admitted."""
+        self._forget(conn)
         self.connections -= 1
         self.reserved -= CONNECTION_BYTES
 
--- a/src/lovageway/forwarding/connections.py
+++ b/src/lovageway/forwarding/connections.py
@@ -68,8 +68,8 @@
             Whether there was enough memory; if not, nothing was reserved.
         """
 
-    def reserve_memory(self, size: int, held: int) -> bool:
-        """Reserve memory for a connection that holds some; a negative size releases it.
+    def reserve_memory(self, conn: "ClientConnection", size: int, held: int) -> bool:
+        """Reserve memory for a connection that holds some.
 
         Returns
         -------
@@ -77,6 +77,12 @@
             Whether there was enough memory; if not, nothing was reserved.
         """
 
+    def release_memory(self, size: int) -> None:
+        """Release memory of a connection."""
+
+    def on_activity(self, conn: "ClientConnection") -> None:
+        """Record that a connection was active, or came into use or out of use."""
+
     def handle(self, conn: "ClientConnection", inbound: Inbound) -> None:
         """Start to serve a request."""
 
@@ -148,6 +154,7 @@
         """Parse input and start the next request if none is being served."""
         if not self._discarding:
             self.last_active_at = self._clock()
+            self._handler.on_activity(self)
             self._input.receive(data)
 
     def _feed(self, data: bytes) -> bool:
@@ -175,7 +182,12 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Cancel the request that is being served and release the memory of the bodies."""
+        """Cancel the request that is being served and release all memory."""
+        self._leave()
+
+    def _leave(self) -> None:
+        if self.closed:
+            return
         self.closed = True
         self._input.discard()
         self._writable.set()
@@ -188,11 +200,13 @@
         """Record that the write buffer is full."""
         self._writable.clear()
         self._write_blocked_at = self._clock()
+        self._handler.on_activity(self)
 
     def resume_writing(self) -> None:
         """Record that the write buffer has drained."""
         self._write_blocked_at = None
         self._writable.set()
+        self._handler.on_activity(self)
         self._serve_next()
 
     # Parser callbacks.
@@ -286,6 +300,7 @@
             return
         if self._writable.is_set():
             self.current = self._queue.popleft()
+            self._handler.on_activity(self)
             self._input.hold(False)
             self._handler.handle(self, self.current)
 
@@ -339,6 +354,7 @@
         if not self._queue and not self._in_message:
             self._release_bodies()
         self.last_active_at = self._clock()
+        self._handler.on_activity(self)
         if self._close_after:
             self._linger()
         else:
@@ -350,7 +366,7 @@
         """Reserve memory for a head; reject the request if there is none."""
         if self._discarding:
             return False
-        if not self._handler.reserve_memory(size, self._memory):
+        if not self._handler.reserve_memory(self, size, self._memory):
             self._reject_for_memory("head")
             return False
         self._memory += size
@@ -358,7 +374,7 @@
 
     def _release_memory(self, size: int) -> None:
         self._memory -= size
-        self._handler.reserve_memory(-size, 0)
+        self._handler.release_memory(size)
 
     @property
     def is_in_use(self) -> bool:
@@ -373,6 +389,7 @@
     def close_unused(self) -> None:
         """Close the connection for another one; its client gets no answer."""
         self.abort()
+        self._leave()
 
     def _release_bodies(self) -> None:
         self._handler.reserve_body(-self._reserved_bytes)
--- a/src/lovageway/forwarding/listeners.py
+++ b/src/lovageway/forwarding/listeners.py
@@ -35,19 +35,23 @@
         self.state.body_budget.release(-BODY_COPIES * size)
         return True
 
-    def reserve_memory(self, size: int, held: int) -> bool:
-        """Reserve memory for a connection that holds some; a negative size releases it."""
-        memory = self.state.connection_memory
-        if size >= 0:
-            return memory.reserve(size, held)
-        memory.release(-size)
-        return True
+    def reserve_memory(self, conn: ClientConnection, size: int, held: int) -> bool:
+        """Reserve memory for a connection that holds some."""
+        return self.state.connection_memory.reserve(size, held, conn)
+
+    def release_memory(self, size: int) -> None:
+        """Release memory of a connection."""
+        self.state.connection_memory.release(size)
+
+    def on_activity(self, conn: ClientConnection) -> None:
+        """Record that a connection was active, or came into use or out of use."""
+        if conn in self.conns:
+            self.state.connection_memory.on_activity(conn)
 
     def on_connect(self, conn: ClientConnection) -> None:
         """Add a new connection, or close it if there is no memory for it."""
-        if self.state.connection_memory.admit(self.state.connections):
+        if self.state.connection_memory.admit(conn):
             self.conns.add(conn)
-            self.state.connections.add(conn)
         else:
             self.state.log("connection_refused", listener=self.name, peer=conn.peer)
             conn.abort()
@@ -56,8 +60,7 @@
         """Remove a closed connection."""
         if conn in self.conns:
             self.conns.remove(conn)
-            self.state.connections.discard(conn)
-            self.state.connection_memory.leave()
+            self.state.connection_memory.leave(conn)
 
     def on_rejected(self, status: int, reason: str) -> None:
         """Count and log a request that violated the protocol or a limit."""
--- a/src/lovageway/forwarding/state.py
+++ b/src/lovageway/forwarding/state.py
@@ -8,7 +8,7 @@
 
 from lovageway.forwarding import fleetshare, memorybudget, placement, resend, statements
 from lovageway.forwarding.admissionqueue import AdmissionQueue
-from lovageway.forwarding.connectionmemory import Connection, ConnectionMemory
+from lovageway.forwarding.connectionmemory import ConnectionMemory
 from lovageway.forwarding.eventlog import EventLog
 from lovageway.forwarding.inputturns import InputTurns
 from lovageway.forwarding.lifecycle import Lifecycle
@@ -93,7 +93,6 @@
             memorybudget.budget_bytes(cfg.memory_mb, memorybudget.ANSWER_SHARE)
         )
         self.connection_memory = ConnectionMemory(cfg.memory_mb, cfg.open_files)
-        self.connections: set[Connection] = set()  # of clients, at all listeners
         self.turns = InputTurns(clock)
         self.pool = Pool(heads.answer, clock, self.turns)
         self.routes: RouteTable | None = None
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -63,12 +63,18 @@
         self.room -= size
         return True
 
-    def reserve_memory(self, size, held):
+    def reserve_memory(self, conn, size, held):
         if size > self.memory:
             return False
         self.memory -= size
         return True
 
+    def release_memory(self, size):
+        self.memory += size
+
+    def on_activity(self, conn):
+        pass
+
     def handle(self, conn, inbound):
         self.requests.append(inbound)
 
--- a/tests/test_crowd_processes.py
+++ b/tests/test_crowd_processes.py
@@ -25,6 +25,8 @@
 MEMORY_MB = 64  # of the daemon; an idle one takes 27 MB
 CONNECTIONS = 200
 MAX_DESCRIPTORS = 2 * CONNECTIONS + 100  # each may have a connection to a server, too
+IDLE_CONNECTIONS = 1200  # more than the memory limit allows
+MANY_DESCRIPTORS = 4100
 BYTES_AHEAD = 1 << 20  # that one connection sends without reading an answer
 HEAD_BYTES = 16384  # the limit that the configuration sets
 BODY_BYTES = 4 << 20  # the limit that the configuration sets
@@ -183,6 +185,30 @@
         self.assertIn(" 200 ", await crowd.answer(HOST, self.ports[0], data, WAIT_S))
 
 
+class Idle(CrowdCase):
+    """Guards against connections that send nothing and keep ordinary callers out."""
+
+    max_descriptors = MANY_DESCRIPTORS
+    file_descriptors = MANY_DESCRIPTORS
+
+    async def test_idle_connections_give_way_to_requests(self):
+        socks = await asyncio.to_thread(crowd.connect_all, HOST, self.ports[0], IDLE_CONNECTIONS)
+        doors = [
+            (self.ports[0], f"GET /a/x HTTP/1.1\r\n{crowd.USUAL_LINES}\r\n"),
+            (self.ports[1], "GET /readiness HTTP/1.1\r\n\r\n"),
+            (self.ports[3], "GET /resolution?name=h.example HTTP/1.1\r\n\r\n"),
+            (METRICS_PORT, "GET /metrics HTTP/1.1\r\n\r\n"),
+        ]
+        try:
+            answers = [await crowd.answer(HOST, p, r.encode(), WAIT_S) for p, r in doors]
+            await self.check()
+        finally:
+            for sock in socks:
+                sock.close()
+        self.assertEqual([line.split(" ")[1:2] for line in answers], [["200"]] * len(doors))
+        await self.stop()
+
+
 class Stops(CrowdCase):
     """Guards against clients that keep a daemon from ending."""
 
