Bound the requests for rows at the address between daemons

Cause: each connection there got its own copy of a whole table, encoded for it, whatever its sender was and however many were open. After 4 s without a reader the connection was closed gently, which keeps the unread rest of the answer until the other side ends, so the memory was never released.

Callers saw: nothing yet; the process grew until its VM ends it.

Change: rowserver answers these requests: 8 open ones of an address, 32 of all addresses at which no daemon is known, one answer at a time for those; an answer that is not read in time is dropped with its connection. Requests of known daemons are answered side by side as before.

--- a/src/lovageway/forwarding/gossip.py
+++ b/src/lovageway/forwarding/gossip.py
@@ -1,4 +1,4 @@
-"""Encodes datagrams between daemons, and transfers rows of the store from a peer."""
+"""Encodes datagrams between daemons, and requests rows of the store from a peer."""
 
 import asyncio
 import zlib
@@ -12,7 +12,7 @@
 from lovageway.forwarding.load import Load, Loads
 from lovageway.forwarding.members import MemberFacts
 from lovageway.forwarding.migration import LeavingRun
-from lovageway.forwarding.mirror import KeptRow, Mirror
+from lovageway.forwarding.mirror import KeptRow
 from lovageway.forwarding.model import Revision, Row
 from lovageway.forwarding.poison import News, Suspect
 from lovageway.forwarding.rollout import wire
@@ -34,10 +34,9 @@
 MAX_PULL_S = 4.0  # for the complete answer
 MAX_CAUSE = 300  # characters
 ROWS_READ_BYTES = 64 * 1024
-FAST_COMPRESSION = 1  # level of zlib
 MAX_ROWS_BYTES = 8 << 20  # size of one answer with rows
 # Raised when a malformed message is decoded.
-_UNREADABLE = (
+UNREADABLE = (
     ValueError,
     TypeError,
     AttributeError,
@@ -301,7 +300,7 @@
                 has_era,
             )
         return _heartbeat(fields) if kind == HEARTBEAT else None
-    except _UNREADABLE:
+    except UNREADABLE:
         return None
 
 
@@ -459,55 +458,6 @@
     return None
 
 
-async def serve_rows(
-    mirror: Mirror,
-    may_be_expired: bool,
-    reader: asyncio.StreamReader,
-    writer: asyncio.StreamWriter,
-) -> None:
-    """Answer a peer's request for the rows of a table that are newer than a version.
-
-    A large configuration is requested by all daemons of a region at once, and its answers share
-    the link of one or two daemons; so they are compressed for peers that can read it. A request
-    that is malformed, or not complete in time, gets no answer.
-
-    Parameters
-    ----------
-    mirror
-        Holds the rows to send.
-    may_be_expired
-        Whether removed rows may have expired while the store was unreachable.
-    """
-    try:
-        async with asyncio.timeout(PULL_TIMEOUT_S):
-            size = int.from_bytes(await reader.readexactly(4), "big")
-            table, number, *era = msgpack.unpackb(await reader.readexactly(min(size, 1024)))
-        body = msgpack.packb(_rows_answer(mirror, str(table), number, era, may_be_expired))
-        if COMPRESSED in era[1:]:
-            body = zlib.compress(body, FAST_COMPRESSION)
-        writer.write(len(body).to_bytes(4, "big") + body)
-        async with asyncio.timeout(MAX_PULL_S):
-            await writer.drain()
-    except (OSError, TimeoutError, EOFError, *_UNREADABLE):
-        pass  # the peer requests the rows again, or requests them from another daemon
-    finally:
-        writer.close()
-
-
-def _rows_answer(
-    mirror: Mirror, table: str, number: Any, era: list[Any], may_be_expired: bool
-) -> list[Any]:
-    """Return the fields of an answer; daemons of earlier versions ask without an era."""
-    position = mirror.position(table)
-    after = Revision(int(era[0]) if era else position.era if number else 0, int(number))
-    is_full_table, rows = mirror.since(table, after)
-    fields = [is_full_table, mirror.is_complete(table), may_be_expired]
-    if not era:
-        return [*fields, [list(row)[:4] for row in rows]]
-    kept = [[list(row), shown] for row, shown in mirror.kept(table)]
-    return [*fields, [list(row) for row in rows], list(position), kept]
-
-
 async def _read(reader: asyncio.StreamReader, size: int) -> bytes:
     """Return `size` bytes, as long as some of them arrive within PULL_TIMEOUT_S."""
     data = bytearray()
@@ -567,5 +517,5 @@
             _revision(position),
             [KeptRow(_row(row), None if shown is None else int(shown)) for row, shown in kept],
         )
-    except (TimeoutError, EOFError, *_UNREADABLE) as exc:
+    except (TimeoutError, EOFError, *UNREADABLE) as exc:
         raise OSError(f"{ip} sent no readable rows: {repr(exc)[:MAX_CAUSE]}") from exc
--- a/src/lovageway/forwarding/members.py
+++ b/src/lovageway/forwarding/members.py
@@ -122,6 +122,10 @@
         elif old.facts.incarnation == facts.incarnation and facts.counter > old.facts.counter:
             self._record(_Member(facts, now, old.store_lost, is_relayed=True))
 
+    def is_known(self, ip: str) -> bool:
+        """Return whether another daemon runs at an address, or may run there."""
+        return ip in self._others or ip in self._contacts or ip in self.seeds
+
     def add_contact(self, ip: str) -> None:
         """Add an address at which a daemon may run."""
         if ip != self.own.ip:
--- a/src/lovageway/forwarding/peers.py
+++ b/src/lovageway/forwarding/peers.py
@@ -15,6 +15,7 @@
 from lovageway.forwarding.rollout.model import Report
 from lovageway.forwarding.rollout.spread import RolloutSpread
 from lovageway.forwarding.rowhandler import TABLES, RowHandler
+from lovageway.forwarding.rowserver import RowServer
 from lovageway.forwarding.state import RENEWED_TABLES, State
 from lovageway.forwarding.statementspread import StatementSpread
 from lovageway.forwarding.storewatch import StoreClient, StoreError, TableWatch
@@ -72,6 +73,9 @@
             self._on_message, lambda reason: state.telemetry.add("datagrams_rejected", reason)
         )
         self._port = state.cfg.internal_ports[0]
+        self._row_server = RowServer(
+            state.mirror, self.removals_may_be_expired, state.members.is_known
+        )
         # By table: a peer that has newer rows, and when its heartbeat showed them.
         self._newer_at_peer: dict[str, tuple[float, str]] = {}
         self._kept_known: dict[str, int] = {}  # by table: the era whose kept rows were pulled
@@ -101,7 +105,7 @@
         loop = asyncio.get_running_loop()
         ip = self._state.cfg.ip
         await loop.create_datagram_endpoint(lambda: self._gossip, local_addr=(ip, self._port))
-        self._servers.append(await asyncio.start_server(self.serve_rows, ip, self._port))
+        self._servers.append(await asyncio.start_server(self._row_server.serve, ip, self._port))
         for watch in self._watches.values():
             watch.start()
         self._announce_task = loop.create_task(self.announce())
@@ -127,6 +131,11 @@
         """Return the number of calls made to the store."""
         return self._client.calls
 
+    @property
+    def row_requests_refused(self) -> int:
+        """Return the number of requests for rows that were refused, since too many were open."""
+        return self._row_server.refused
+
     def describe_store(self, now: float) -> dict[str, object]:
         """Return what is known of the store and what it lost, by table, for operators."""
         mirror = self._state.mirror
@@ -492,10 +501,6 @@
             self._pulls.add(task)
             task.add_done_callback(self._pulls.discard)
 
-    async def serve_rows(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Answer a peer's request for rows."""
-        await gossip.serve_rows(self._state.mirror, self.removals_may_be_expired(), reader, writer)
-
     async def _pull_rows(self, table: str, ip: str) -> None:
         """Request from a peer the rows of a table that this daemon lacks, and apply them.
 
--- a/src/lovageway/forwarding/relay.py
+++ b/src/lovageway/forwarding/relay.py
@@ -160,6 +160,7 @@
         telemetry.set("client_memory_refusals", state.connection_memory.refused)
         telemetry.set("client_connections_evicted", state.connection_memory.evicted)
         telemetry.set("store_calls_made", self._peers.store_calls)
+        telemetry.set("row_requests_refused", self._peers.row_requests_refused)
         telemetry.set("log_lines_left_out", self.log.left_out_total)
         telemetry.set("suspects", len(state.poison.held(now)))
         mirror = state.mirror
--- a/src/lovageway/forwarding/telemetry.py
+++ b/src/lovageway/forwarding/telemetry.py
@@ -64,6 +64,7 @@
     "client_memory_refusals": "Requests and connections refused for want of this memory.",
     "client_connections_evicted": "Unused connections closed to make room for new ones.",
     "store_calls_made": "Calls to the platform's store since the start.",
+    "row_requests_refused": "Requests for rows refused since too many were open.",
     "log_lines_left_out": "Log lines left out since the start, to stay within the bound.",
     "regions_without_load": "Other regions whose load is not known, in a large fleet.",
     "region_load_age_seconds": "Age of the oldest load of another region, in a large fleet.",
--- a/tests/test_crowd_processes.py
+++ b/tests/test_crowd_processes.py
@@ -11,6 +11,7 @@
 import unittest
 from pathlib import Path
 
+import msgpack
 from soak.world import Daemon
 from standins.caller import WAIT_S, Client, free_ports
 from standins.replica import Engine, Replica
@@ -37,6 +38,7 @@
     route(),
     route(name="s", prefix="/s/", route_kind="streaming", service="llm", stream_resume=True),
 ]
+ROWS, ROW_BYTES = 40, 32768  # of the table that daemons request from each other
 STREAM = f"GET /s/x HTTP/1.1\r\n{crowd.USUAL_LINES}Token-Usage: 10,10\r\n\r\n"
 EVENTS, EVENT_S = 40, 0.05  # of a stream, which thus ends within the grace period
 HUGE = (2**63, 2**64 - 1, 10**30, 10**400, -(2**63) - 1, -(10**400))
@@ -299,3 +301,19 @@
             "Content-Length: N",
             "Token-Usage: N,N",
         )
+
+
+class Peers(CrowdCase):
+    """Guards against strangers at the addresses where daemons exchange their state."""
+
+    def fill_store(self):
+        for number in range(ROWS):
+            self.store.put("op", f"note/{number}", {"text": os.urandom(ROW_BYTES // 2).hex()})
+
+    async def test_answers_with_rows_that_nobody_reads(self):
+        fields = msgpack.packb(["op", 0, 0])
+        await self.flood(len(fields).to_bytes(4, "big") + fields, self.ports[4])
+
+    async def test_requests_for_rows_that_do_not_end(self):
+        await self.flood((1024).to_bytes(4, "big") + b"x" * 1000, self.ports[4])
+        await self.flood(b"x" * BYTES_AHEAD, self.ports[4])
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -16,6 +16,7 @@
 from lovageway.forwarding.mirror import FIRST, Mirror
 from lovageway.forwarding.model import Revision, Row
 from lovageway.forwarding.poison import News, Suspect
+from lovageway.forwarding.rowserver import RowServer
 from lovageway.forwarding.statements import Report
 
 FACTS = MemberFacts("10.0.0.1", 1, 2, 1, "z", "r")
@@ -152,7 +153,8 @@
         return server.sockets[0].getsockname()[1]
 
     async def serve_rows(self, reader, writer):
-        await gossip.serve_rows(self.mirror, False, reader, writer)
+        server = RowServer(self.mirror, lambda: False, lambda address: True)
+        await server.serve(reader, writer)
 
     async def answer_to(self, *fields):
         """Return the body of the answer to a request."""
