Bound what datagrams may add to a daemon's state

Cause: a datagram named as many daemons, regions, servers and generations as its 64 KB hold, and all were kept for up to 30 s. Numbers of up to 64 bits were read, whose sum no later message can carry.

Callers saw: nothing yet; the process grew until its VM ends it.

Change: datagrams of more than 8 KB, which no daemon sends, and numbers above 2^53 are not read. Members, LoadTracker, MigrationSchedule, PoisonDetector and the evidence of roll-outs keep a limited number of entries; the age of another region's load cannot be negative, which kept it for ever.

--- a/src/lovageway/forwarding/gossip.py
+++ b/src/lovageway/forwarding/gossip.py
@@ -20,12 +20,14 @@
 from lovageway.forwarding.rollout.model import Report as RolloutReport
 from lovageway.forwarding.statements import Report
 from lovageway.forwarding.traits import MAX_LABEL
+from lovageway.forwarding.wirenumbers import whole_number
 
 # Kinds of datagrams. The kind is the first field of each.
 HEARTBEAT, LEAVING_RUNS, MIGRATION_DONE, ROWS, LOAD_ADDED, MIGRATION_STARTED = 1, 2, 3, 4, 5, 6
 POISON, STATEMENTS, ROWS_OF_ERA = 7, 8, 9
 ROLLOUTS, ROLLOUT_REPORT, LEAVING = 10, 11, 12
-MAX_DATAGRAM_BYTES = 8192
+MAX_DATAGRAM_BYTES = 8192  # a longer one is neither sent nor read
+MAX_TOKEN_BYTES = 64  # of the digest that stands for a server or a trait
 # At least this many servers of each other region are described, even if the total then exceeds
 # MAX_SERVERS.
 MIN_SERVERS_PER_REGION = 10
@@ -254,7 +256,7 @@
 
 
 def _loads(fields: dict[Any, Any]) -> Loads:
-    return {str(key): Load(*map(int, load)) for key, load in fields.items()}
+    return {str(key): Load(*map(whole_number, load)) for key, load in fields.items()}
 
 
 def decode(data: bytes) -> Message | None:
@@ -263,7 +265,9 @@
         kind, *fields = msgpack.unpackb(data)
         if kind == LEAVING_RUNS:
             ip, server, runs = fields
-            decoded_runs = [LeavingRun(str(i), int(c), int(w)) for i, c, w in runs]
+            decoded_runs = [
+                LeavingRun(str(i), whole_number(c), whole_number(w)) for i, c, w in runs
+            ]
             return LeavingRuns(str(ip), str(server), decoded_runs)
         if kind == MIGRATION_STARTED:
             server, run = fields
@@ -276,14 +280,14 @@
             return LoadAdded(str(ip), _loads(loads))
         if kind == POISON:
             ip, suspects, alive = fields
-            decoded_alive = [(_bytes(server), _age(age_ms)) for server, age_ms in alive]
+            decoded_alive = [(_token(server), _age(age_ms)) for server, age_ms in alive]
             return Poison(str(ip), News([_suspect(item) for item in suspects], decoded_alive))
         if kind == STATEMENTS:
             ip, reports = fields
             return Statements(str(ip), [_report(item) for item in reports])
         if kind == LEAVING:
             ip, servers = fields
-            return Leaving(str(ip), [_bytes(server) for server in servers])
+            return Leaving(str(ip), [_token(server) for server in servers])
         if kind == ROLLOUTS:
             ip, announcements = fields
             return Rollouts(str(ip), [wire.announcement(item) for item in announcements])
@@ -294,7 +298,7 @@
             has_era = kind == ROWS_OF_ERA
             return Rows(
                 str(table),
-                _revision(after) if has_era else Revision(0, int(after)),
+                _revision(after) if has_era else Revision(0, whole_number(after)),
                 [_row(row) for row in rows],
                 bool(may_be_expired),
                 has_era,
@@ -308,14 +312,14 @@
     facts, versions, loads, eras, relayed, store_lost, daemons, other_regions = fields
     return Heartbeat(
         facts=_facts(facts),
-        versions={str(table): int(version) for table, version in versions.items()},
+        versions={str(table): whole_number(version) for table, version in versions.items()},
         loads=_loads(loads),
-        eras=[(str(table), int(era), bool(kept)) for table, era, kept in eras],
+        eras=[(str(table), whole_number(era), bool(kept)) for table, era, kept in eras],
         relayed=[_facts(item) for item in relayed],
         store_lost=bool(store_lost),
-        daemons=int(daemons),
+        daemons=whole_number(daemons),
         other_regions=tuple(
-            RegionLoad(str(r), int(age), _loads(part)) for r, age, part in other_regions
+            RegionLoad(str(r), _age(age), _loads(part)) for r, age, part in other_regions
         ),
     )
 
@@ -323,11 +327,11 @@
 def _suspect(item: Any) -> Suspect:
     mark, label, crashes, answered_ms, trials, confirmed, stored = item
     return Suspect(
-        _bytes(mark),
+        _token(mark),
         str(label)[:MAX_LABEL],
-        tuple((_bytes(server), _age(age_ms)) for server, age_ms in crashes),
+        tuple((_token(server), _age(age_ms)) for server, age_ms in crashes),
         None if answered_ms is None else _age(answered_ms),
-        int(trials),
+        whole_number(trials),
         bool(confirmed),
         bool(stored),
     )
@@ -337,12 +341,19 @@
     server, limit_per_s, age_ms = item
     if limit_per_s is not None and not 0 <= limit_per_s < inf:
         raise ValueError(f"{limit_per_s!r} is no limit")
-    return Report(_bytes(server), None if limit_per_s is None else float(limit_per_s), _age(age_ms))
+    return Report(_token(server), None if limit_per_s is None else float(limit_per_s), _age(age_ms))
 
 
 def _age(value: Any) -> int:
     # A time in the future would count as newer than everything that is observed later.
-    return max(0, int(value))
+    return max(0, whole_number(value))
+
+
+def _token(value: object) -> bytes:
+    found = _bytes(value)
+    if len(found) > MAX_TOKEN_BYTES:
+        raise ValueError("the digest of a server or a trait is too long")
+    return found
 
 
 def _bytes(value: object) -> bytes:
@@ -358,19 +369,26 @@
         str(table),
         str(key),
         None if value is None else _bytes(value),
-        int(version),
-        int(era[0]) if era else 0,
+        whole_number(version),
+        whole_number(era[0]) if era else 0,
     )
 
 
 def _revision(fields: Any) -> Revision:
     era, number = fields
-    return Revision(int(era), int(number))
+    return Revision(whole_number(era), whole_number(number))
 
 
 def _facts(item: Any) -> MemberFacts:
     ip, incarnation, counter, state, zone, region = item
-    return MemberFacts(str(ip), int(incarnation), int(counter), int(state), str(zone), str(region))
+    return MemberFacts(
+        str(ip),
+        whole_number(incarnation),
+        whole_number(counter),
+        whole_number(state),
+        str(zone),
+        str(region),
+    )
 
 
 class Gossip(asyncio.DatagramProtocol):
@@ -405,7 +423,7 @@
         source address. `Rows`, `MigrationStarted` and `MigrationDone` have no sender field
         and are not checked.
         """
-        message = decode(data)
+        message = decode(data) if len(data) <= MAX_DATAGRAM_BYTES else None
         if message is None or _sender(message) not in (None, addr[0]):
             self.rejected += 1
             self._on_rejected("unreadable" if message is None else "another sender")
--- a/src/lovageway/forwarding/load.py
+++ b/src/lovageway/forwarding/load.py
@@ -12,6 +12,8 @@
 # fleet, so that one lost heartbeat does not remove a load.
 MAX_PEER_LOAD_AGE_S = 1.3
 MAX_REGION_LOAD_AGE_S = 2.5  # for the sum of another region
+MAX_ENTRIES = 50_000  # pairs of a daemon and a server in the reports of peers
+MAX_SUMS = 64  # of aggregators, and of other regions
 
 
 class Load(NamedTuple):
@@ -85,6 +87,7 @@
         self._own: Loads = {}
         self._peers: dict[str, LoadReport] = {}  # each reporting peer's own load
         self._peer_sum: Loads = {}
+        self._entries = 0  # pairs of a peer and a server
         self._reporting_peers = 0  # peers that reported their complete load
         # The load of the region without this daemon's, by the aggregator that sent it.
         self._region_sums: dict[str, LoadReport] = {}
@@ -154,8 +157,9 @@
         daemons
             How many daemons reported to the aggregator.
         """
-        self._region_sums[aggregator] = LoadReport(now, loads, daemons)
-        self._invalidate(now + MAX_PEER_LOAD_AGE_S)
+        if aggregator in self._region_sums or len(self._region_sums) < MAX_SUMS:
+            self._region_sums[aggregator] = LoadReport(now, loads, daemons)
+            self._invalidate(now + MAX_PEER_LOAD_AGE_S)
 
     def on_other_region(self, region: str, loads: Loads, now: float) -> None:
         """Record the sum of another region's loads, unless a newer one is recorded.
@@ -166,23 +170,26 @@
             When the loads were valid: the time of receipt less the age stated by the sender.
         """
         old = self._other_regions.get(region)
-        if old is None or old.as_of <= now:
+        is_new = old is None and len(self._other_regions) < MAX_SUMS
+        if is_new or (old is not None and old.as_of <= now):
             self._other_regions[region] = LoadReport(now, loads)
             self._invalidate(now + MAX_REGION_LOAD_AGE_S)
 
     def _set_peer(self, peer: str, report: LoadReport | None) -> None:
-        """Replace a peer's report, and correct the sum by the difference."""
+        """Replace a peer's report, if there is room, and correct the sum by the difference."""
         old = self._peers.pop(peer, None)
         if old is not None:
             self._reporting_peers -= old.daemons
+            self._entries -= len(old.loads)
             for server, load in old.loads.items():
                 remaining = self._peer_sum.get(server, ZERO) - load
                 if remaining == ZERO:
                     self._peer_sum.pop(server, None)
                 else:
                     self._peer_sum[server] = remaining
-        if report is not None:
+        if report is not None and self._entries + len(report.loads) <= MAX_ENTRIES:
             self._peers[peer] = report
+            self._entries += len(report.loads)
             self._reporting_peers += report.daemons
             for server, load in report.loads.items():
                 self._peer_sum[server] = self._peer_sum.get(server, ZERO) + load
--- a/src/lovageway/forwarding/members.py
+++ b/src/lovageway/forwarding/members.py
@@ -21,6 +21,7 @@
 OTHER_REGION_DEAD_AFTER_S = 5.0  # for relayed state, which describes other regions in rotation
 MAX_SILENCE_S = 0.9  # an aggregator or watcher that is silent for longer is replaced
 FORGET_AFTER_S = 30.0
+MAX_DAEMONS = 2048  # that are known at a time
 DISCOVERY_S = 3.0  # after its start, a daemon has received the state of all others by then
 MAX_FULL_MESH_PEERS = 16  # up to this many peers, each tick sends a heartbeat to all of them
 AGGREGATORS = 3  # in each region of a larger fleet; all of them receive the reports
@@ -108,8 +109,7 @@
                 return False
             self._record(_Member(facts, now, store_lost))
             return old.facts.state != facts.state
-        self._record(_Member(facts, now, store_lost))
-        return True
+        return self._record(_Member(facts, now, store_lost))
 
     def on_relayed(self, facts: MemberFacts, now: float) -> None:
         """Record a daemon's state that another daemon relayed."""
@@ -117,7 +117,7 @@
             return
         old = self._others.get(facts.ip)
         if old is None:
-            self._contacts.add(facts.ip)
+            self.add_contact(facts.ip)
             self._record(_Member(facts, now, False, is_relayed=True))
         elif old.facts.incarnation == facts.incarnation and facts.counter > old.facts.counter:
             self._record(_Member(facts, now, old.store_lost, is_relayed=True))
@@ -128,7 +128,7 @@
 
     def add_contact(self, ip: str) -> None:
         """Add an address at which a daemon may run."""
-        if ip != self.own.ip:
+        if ip != self.own.ip and len(self._contacts) < MAX_DAEMONS:
             self._contacts.add(ip)
 
     def mark_contacts_complete(self) -> None:
@@ -142,9 +142,12 @@
             del self._others[ip]
             self._ranks.clear()
 
-    def _record(self, member: _Member) -> None:
+    def _record(self, member: _Member) -> bool:
+        """Record a daemon; return False if it is new and too many are known."""
         facts = member.facts
         old = self._others.get(facts.ip)
+        if old is None and len(self._others) >= MAX_DAEMONS:
+            return False
         if old is not None and old.facts.region != facts.region:
             self._remove_live(old.facts)
         if old is None:
@@ -155,6 +158,7 @@
             live[facts.ip] = None
             self._live_count += 1
         self._schedule_expiry(facts.ip, member.received_at + self._max_silence_s(member))
+        return True
 
     def _schedule_expiry(self, ip: str, at: float) -> None:
         """Schedule the liveness check of a daemon, unless an earlier one is scheduled."""
@@ -174,6 +178,8 @@
         if facts.ip in live:
             del live[facts.ip]
             self._live_count -= 1
+            if not live:
+                del self._live[facts.region]
 
     def _expire(self, now: float) -> None:
         """Remove daemons from the live ones whose state has expired."""
@@ -336,7 +342,7 @@
         silent = {
             ip
             for ip in (*self.seeds, *self._contacts, *self._others)
-            if ip not in self._others or ip not in self._live[self._others[ip].facts.region]
+            if ip not in self._others or ip not in self._live.get(self._others[ip].facts.region, ())
         }
         silent.discard(self.own.ip)
         return [rng.choice(sorted(silent))] if silent else []
@@ -374,7 +380,7 @@
                 pending[:] = [ip for ip in self._addresses_of_kind(kind, now) if ip not in known]
                 continue
             member = self._others.get(pending.pop())
-            if member is not None and member.facts.ip in self._live[member.facts.region]:
+            if member is not None and member.facts.ip in self._live.get(member.facts.region, ()):
                 found.append(member.facts)
         return found
 
--- a/src/lovageway/forwarding/migration.py
+++ b/src/lovageway/forwarding/migration.py
@@ -191,6 +191,8 @@
     # Allowance for the two calls and the message of such a migration on busy machines.
     CALL_OVERHEAD_S = 0.15
     RETENTION_S = 10.0
+    MAX_NOTICES = 256  # engines of which other daemons report generations
+    MAX_RUNS = 1024  # on one engine
 
     def __init__(self) -> None:
         self._notices: dict[str, _LeaveNotice] = {}
@@ -214,8 +216,13 @@
         daemon
             Address of the daemon that owns them; None for this one.
         """
+        is_new = daemon is not None and server not in self._notices
+        if is_new and len(self._notices) >= self.MAX_NOTICES:
+            return
         self.on_notice(server, now)
         notice = self._notices[server]
+        if daemon is not None:
+            runs = runs[: max(0, self.MAX_RUNS - len(notice.runs))]
         for run in runs:
             notice.runs[run.id] = run
             notice.reported_at.setdefault(run.id, now)
@@ -232,9 +239,10 @@
 
     def on_started(self, server: str, run: str, now: float) -> None:
         """Record that a migration off an engine has started."""
-        if server in self._notices:
-            self._notices[server].started_at.setdefault(run, now)
-            self._notices[server].ordered = None
+        notice = self._notices.get(server)
+        if notice is not None and len(notice.started_at) < self.MAX_RUNS:
+            notice.started_at.setdefault(run, now)
+            notice.ordered = None
 
     def own_started(self, server: str) -> list[str]:
         """Return this daemon's migrations off an engine that have started and not finished."""
@@ -245,8 +253,9 @@
 
     def on_finished(self, server: str, run: str) -> None:
         """Record that a generation no longer needs the engine's network link."""
-        if server in self._notices:
-            self._notices[server].finished.add(run)
+        notice = self._notices.get(server)
+        if notice is not None and len(notice.finished) < self.MAX_RUNS:
+            notice.finished.add(run)
 
     def may_start(self, server: str, run: str, now: float) -> bool:
         """Return whether a generation may use the link now.
--- a/src/lovageway/forwarding/poison.py
+++ b/src/lovageway/forwarding/poison.py
@@ -43,6 +43,7 @@
 MAX_SUSPECTS = 256
 MAX_RECORDS = 4096
 EVICTION_CANDIDATES = 16  # the oldest records, of which the one with the fewest crashes goes first
+MAX_ALIVE = 8192  # servers whose last answer to a suspect request other daemons reported
 MAX_ANSWERED = 4096  # traits whose last answer is remembered
 
 
@@ -316,6 +317,8 @@
         """Merge the records of another daemon."""
         for server, age_ms in news.alive:
             sent_at = now - age_ms / 1000
+            if server not in self._alive and len(self._alive) >= MAX_ALIVE:
+                continue
             if sent_at > self._alive.get(server, (float("-inf"), 0.0))[0] + AGE_TOLERANCE_S:
                 self._alive[server] = (sent_at, now)
                 self.on_server_answer(server, sent_at, now)
--- a/src/lovageway/forwarding/rollout/answers.py
+++ b/src/lovageway/forwarding/rollout/answers.py
@@ -5,6 +5,8 @@
 from lovageway.forwarding.rollout.latency import UsualLatency
 from lovageway.forwarding.rollout.model import Count, Evidence, Report, RouteCounts
 
+MAX_REPORTS = 2048  # starts of daemons whose evidence is kept
+
 
 class Answers:
     """Answers at this daemon, and at those that reported.
@@ -73,6 +75,8 @@
         """Take the evidence of another daemon, unless it is of an earlier moment."""
         key = (report.ip, report.incarnation)
         known = self._reports.get(key)
+        if known is None and len(self._reports) >= MAX_REPORTS:
+            return
         if known is None or _size(report.evidence) >= _size(known):
             self._reports[key] = report.evidence
 
--- a/src/lovageway/forwarding/rollout/wire.py
+++ b/src/lovageway/forwarding/rollout/wire.py
@@ -12,6 +12,7 @@
     RouteCounts,
     Run,
 )
+from lovageway.forwarding.wirenumbers import whole_number
 
 MAX_ROUTES = 60  # in one report; the most used ones
 MAX_SERVERS = 100  # pairs of a route and a server
@@ -69,7 +70,7 @@
     ip, incarnation, run, routes, servers = fields
     return Report(
         str(ip),
-        int(incarnation),
+        whole_number(incarnation),
         _run(run),
         Evidence(
             {
@@ -87,7 +88,7 @@
 
 def _run(fields: Any) -> Run:
     service, to, began_ms = fields
-    return Run(_name(service), _name(to), int(began_ms))
+    return Run(_name(service), _name(to), whole_number(began_ms))
 
 
 def _name(value: object) -> str:
@@ -95,7 +96,7 @@
 
 
 def _count(fields: Any) -> Count:
-    answers, bad = (int(value) for value in fields)
+    answers, bad = (whole_number(value) for value in fields)
     if not 0 <= bad <= answers:
         raise ValueError(f"{bad} bad of {answers} answers")
     return Count(answers, bad)
--- a/tests/test_crowd_processes.py
+++ b/tests/test_crowd_processes.py
@@ -7,6 +7,7 @@
 import contextlib
 import os
 import signal
+import socket
 import tempfile
 import unittest
 from pathlib import Path
@@ -22,6 +23,7 @@
 from tests.relayworld import config, route
 
 HOST = "127.0.4.1"
+STRANGER = "127.0.4.9"  # sends datagrams like a daemon
 SILENT = "127.0.4.2"  # where a daemon may run, so that this one sends messages to it
 MEMORY_MB = 64  # of the daemon; an idle one takes 27 MB
 CONNECTIONS = 200
@@ -38,6 +40,7 @@
     route(),
     route(name="s", prefix="/s/", route_kind="streaming", service="llm", stream_resume=True),
 ]
+DATAGRAMS = 3000
 ROWS, ROW_BYTES = 40, 32768  # of the table that daemons request from each other
 STREAM = f"GET /s/x HTTP/1.1\r\n{crowd.USUAL_LINES}Token-Usage: 10,10\r\n\r\n"
 EVENTS, EVENT_S = 40, 0.05  # of a stream, which thus ends within the grace period
@@ -317,3 +320,69 @@
     async def test_requests_for_rows_that_do_not_end(self):
         await self.flood((1024).to_bytes(4, "big") + b"x" * 1000, self.ports[4])
         await self.flood(b"x" * BYTES_AHEAD, self.ports[4])
+
+    async def test_datagrams_with_huge_numbers(self):
+        facts = [STRANGER, 1, 1, 1, "z2", "r2"]
+        versions, eras = {"op": 1, "servers": 1}, [["op", 1, False]]
+        loads = {"i-1": [1, 1, 1, 1]}
+        heartbeats = []
+        for number in (2**63, 2**64 - 1, -(2**63)):
+            for position in (1, 2, 3):
+                changed = [*facts[:position], number, *facts[position + 1 :]]
+                heartbeats.append([changed, versions, loads, eras, [changed], False, 1, []])
+            for other in ({"i-1": [number] * 4}, {f"s{n}": [1, 1, number, 1] for n in range(9)}):
+                region = [["r2", number, other]]
+                heartbeats.append([facts, versions, other, eras, [], False, number, region])
+            ahead = {"op": number, "servers": number}
+            heartbeats.append([facts, ahead, loads, [["op", number, True]], [], False, 1, []])
+        await self.send_datagrams([msgpack.packb([1, *fields]) for fields in heartbeats] * 20)
+        await self.stop()
+        self.assertFalse('"fault"' in self.daemon.log.read_text(), "the daemon logged a fault")
+
+    async def test_datagrams_that_name_very_many_daemons(self):
+        datagrams = []
+        for number in range(DATAGRAMS):
+            relayed = [
+                [f"10.{number // 250}.{number % 250}.{n}", 1, number, 1, f"zone-{n}", f"r-{number}"]
+                for n in range(60)
+            ]
+            facts = [STRANGER, 1, number, 1, "z2", "r2"]
+            datagrams.append(msgpack.packb([1, facts, {}, {}, [], relayed, False, 1, []]))
+        await self.send_datagrams(datagrams)
+
+    async def test_datagrams_that_name_very_many_servers(self):
+        datagrams = []
+        for number in range(DATAGRAMS):
+            loads = {f"server-{number}-{n}": [1, 1, 1, 1] for n in range(200)}
+            regions = [[f"r-{number}", 1, loads]]
+            facts = [STRANGER, 1, number, 1, "z2", "r2"]
+            datagrams.append(msgpack.packb([1, facts, {}, loads, [], [], False, 1, []]))
+            datagrams.append(msgpack.packb([1, facts, {}, {}, [], [], False, 1, regions]))
+        await self.send_datagrams(datagrams)
+
+    async def test_datagrams_that_name_very_many_generations(self):
+        datagrams = []
+        for number in range(DATAGRAMS):
+            runs = [[f"{number}-{n}-{'r' * 40}", 1, 1] for n in range(100)]
+            datagrams.append(msgpack.packb([2, STRANGER, f"server-{number % 1500}", runs]))
+        await self.send_datagrams(datagrams)
+
+    async def test_datagrams_that_hold_very_many_rows(self):
+        datagrams = []
+        for number in range(3 * DATAGRAMS):
+            row = ["op", f"note/{number}", os.urandom(7000), 10**9 + number]
+            datagrams.append(msgpack.packb([4, "op", 0, [row], False]))
+        await self.send_datagrams(datagrams)
+
+    async def send_datagrams(self, datagrams):
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.bind((STRANGER, self.ports[4]))
+        try:
+            for data in datagrams:
+                self.assertLess(len(data), 60000)
+                sock.sendto(data, (HOST, self.ports[4]))
+                await asyncio.sleep(0.001)
+        finally:
+            sock.close()
+        await crowd.wait_until(self.is_serving, WAIT_S)
+        await self.check()
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -54,6 +54,24 @@
             with self.subTest(kind=type(message).__name__):
                 self.assertEqual(gossip.decode(gossip.encode(message)), message)
 
+    def test_numbers_that_no_daemon_sends_are_not_read(self):
+        # Guards against sums that no later message can carry.
+        beat = gossip.Heartbeat(FACTS, {}, {}, [], [], False)
+        for number in (2**53 + 1, 2**63, 2**64 - 1, -(2**63)):
+            facts = FACTS._replace(counter=number)
+            for message in (
+                beat._replace(facts=facts),
+                beat._replace(relayed=[facts]),
+                beat._replace(versions={"op": number}),
+                beat._replace(loads={"i-1": Load(1, number)}),
+                beat._replace(daemons=number),
+                gossip.LoadAdded("10.0.0.1", {"i-1": Load(1, 1, number)}),
+                gossip.LeavingRuns("10.0.0.1", "i-1", [LeavingRun("a", number, 1)]),
+                gossip.Rows("op", Revision(0, number), [], False),
+            ):
+                self.assertIsNone(gossip.decode(gossip.encode(message)))
+        self.assertIsNone(gossip.decode(gossip.encode(gossip.Leaving("10.0.0.1", [b"x" * 65]))))
+
     def test_a_message_that_names_another_sender_is_dropped(self):
         # Guards against state attributed to the wrong daemon after its address was reassigned.
         seen = []
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -6,8 +6,10 @@
 from hypothesis import strategies as st
 
 from lovageway.forwarding.load import (
+    MAX_ENTRIES,
     MAX_PEER_LOAD_AGE_S,
     MAX_REGION_LOAD_AGE_S,
+    MAX_SUMS,
     ZERO,
     Load,
     LoadTracker,
@@ -28,6 +30,21 @@
     def setUp(self):
         self.load_tracker = LoadTracker()
 
+    def test_the_reports_that_are_kept_are_limited(self):
+        # Guards against a stranger whose messages name ever more servers, daemons and regions.
+        for number in range(MAX_SUMS + 10):
+            loads = {f"i-{number}": Load(1, 10)}
+            self.load_tracker.on_other_region(f"r-{number}", loads, 0.0)
+            self.load_tracker.on_region_sum(f"a-{number}", loads, 2, 0.0)
+        self.assertEqual(len(self.load_tracker.regions(0.1)), MAX_SUMS)
+        many = {f"s-{number}": Load(1, 10) for number in range(MAX_ENTRIES // 4)}
+        for number in range(6):
+            self.load_tracker.on_peer(f"p-{number}", many, 0.1)
+        self.assertEqual(self.load_tracker.daemons(), 1 + 4)
+        self.load_tracker.forget(0.2 + MAX_PEER_LOAD_AGE_S)
+        self.load_tracker.on_peer("p-9", {"i-1": Load(1, 10)}, 2.0)
+        self.assertEqual(self.load_tracker.daemons(), 1 + 1)
+
     @settings(derandomize=True)
     @given(STEPS)
     def test_the_sum_is_that_of_the_last_report_of_each_peer(self, steps):
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -9,6 +9,7 @@
     FORGET_AFTER_S,
     LEAVING,
     LEAVING_DEAD_AFTER_S,
+    MAX_DAEMONS,
     MAX_RELAYED_OWN_REGION,
     MAX_SILENCE_S,
     OTHER_REGION_DEAD_AFTER_S,
@@ -36,6 +37,17 @@
         self.assertEqual(self.members.count(1.0), 2)
         self.assertEqual(self.members.count(DEAD_AFTER_S + 0.1), 1)
 
+    def test_a_limited_number_of_daemons_is_known(self):
+        # Guards against a stranger whose messages name ever more daemons.
+        for number in range(MAX_DAEMONS + 100):
+            self.members.on_relayed(facts(f"n-{number}", region=f"r-{number}"), 0.0)
+            self.members.on_heartbeat(facts(f"m-{number}"), 0.0)
+        self.assertEqual(self.members.count(0.1), 1 + MAX_DAEMONS)
+        self.assertFalse(self.members.on_heartbeat(facts("late"), 0.0))
+        self.members.tick(FORGET_AFTER_S + 0.1)
+        self.assertTrue(self.members.on_heartbeat(facts("late"), FORGET_AFTER_S + 0.1))
+        self.assertEqual(self.members.count(FORGET_AFTER_S + 0.2), 2)
+
     def test_an_old_state_does_not_keep_a_daemon_alive(self):
         # Guards against datagrams that arrive late, or relayed state, extending a dead daemon's
         # liveness.
--- a/tests/test_migration.py
+++ b/tests/test_migration.py
@@ -103,6 +103,20 @@
     def may_start(self, now):
         return [run for run in ("a", "b", "long") if self.schedule.may_start("s", run, now)]
 
+    def test_what_other_daemons_report_is_limited(self):
+        # Guards against a stranger whose messages name ever more generations.
+        most = MigrationSchedule.MAX_RUNS
+        for number in range(2 * most):
+            self.schedule.on_runs("s", [LeavingRun(f"n-{number}", 1, 1)], 0.02, "daemon")
+            self.schedule.on_started("s", f"n-{number}", 0.02)
+            self.schedule.on_finished("s", f"n-{number}")
+            self.schedule.on_runs(f"s-{number}", [LeavingRun("n", 1, 1)], 0.02, "daemon")
+        notices = self.schedule._notices
+        self.assertEqual(len(notices), MigrationSchedule.MAX_NOTICES)
+        notice = notices["s"]
+        sizes = [len(notice.runs), len(notice.started_at), len(notice.finished)]
+        self.assertLessEqual(max(sizes), most)
+
     def test_nothing_starts_before_the_reports_of_all_daemons_arrived(self):
         # Guards against two daemons that both start the first migration.
         self.assertEqual(self.may_start(0.02), [])
