Let idle connections of callers give way to new ones at the product's own interface

Cause: the callers' listener counted connections and refused each new one once twice max_open_requests were open, whether or not the others had a request.

Callers saw: 503 (4301) for as long as idle connections were open.

Change: the listener keeps the connections without an open request in the order in which they became idle, and closes the first of them for a new one. It refuses only if each has an open request.

Result: tests.test_crowd_serve_processes.Callers.test_idle_connections (300 connections, 200 allowed) failed before (an ordinary call was refused) and passes. The module's other crowds (short lines, requests ahead, huge numbers; operators and peers) pass on this code and passed before. 19 tests pass.

--- a/src/lovageway/adapters/_listener.py
+++ b/src/lovageway/adapters/_listener.py
@@ -1,4 +1,9 @@
-"""Callers' listener: aiohttp's low-level server with limits, deadlines and numbered refusals."""
+"""Listeners of a daemon: aiohttp's low-level server with limits, deadlines and numbered refusals.
+
+Load pattern: clients that nobody controls open connections and send nothing, send heads and bodies
+of the permitted size that do not end, or do not read their answers. An idle connection gives way to
+a new one.
+"""
 
 import asyncio
 import json
@@ -54,7 +59,13 @@
 class Connection(RequestHandler):
     """Connection that is closed when no request has been read within SOCKET_TIMEOUT_S."""
 
-    __slots__ = ("_deadline", "_has_input", "_last_unsent_bytes", "_listener", "_refused")
+    __slots__ = (
+        "_deadline",
+        "_has_input",
+        "_last_unsent_bytes",
+        "_listener",
+        "_refused",
+    )
 
     def __init__(self, listener: "Listener", server: web.Server) -> None:
         super().__init__(
@@ -78,23 +89,37 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the deadline, or refuse the connection when too many are open."""
         super().connection_made(transport)
+        admitted = self._listener.admit(self)
         self.start_deadline()
-        if self._listener.has_too_many_connections():
+        if not admitted:
             self._refuse(Refusal(Code.QUEUE_FULL, "Too many connections.", FULL_RETRY_AFTER_S))
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Cancel the deadline."""
+        """Cancel the deadline and make room for another connection."""
         self.cancel_deadline()
+        self._leave()
         super().connection_lost(exc)
 
+    def close_idle(self) -> None:
+        """Close a connection without an open request, for another one."""
+        self._leave()
+        if isinstance(self.transport, asyncio.Transport):
+            self.transport.abort()
+
+    def _leave(self) -> None:
+        self._refused = True
+        self._listener.leave(self)
+
     def data_received(self, data: bytes) -> None:
         """Parse the input unless the connection has been refused."""
         self._has_input = True
-        if not self._refused:
-            super().data_received(data)
+        if self._refused:
+            return
+        super().data_received(data)
 
     def start_deadline(self) -> None:
         """Start the deadline for reading the next request."""
+        self._listener.on_idle(self)
         self._has_input, self._last_unsent_bytes = False, self.unsent_bytes()
         self._schedule_deadline()
 
@@ -110,6 +135,7 @@
 
     def cancel_deadline(self) -> None:
         """Cancel the deadline, because a request has been read."""
+        self._listener.on_busy(self)
         if self._deadline is not None:
             self._deadline.cancel()
             self._deadline = None
@@ -188,6 +214,9 @@
     def __init__(self, max_requests: int, on_refusal: OnRefusal) -> None:
         self.on_refusal = on_refusal
         self._max_requests = max_requests
+        self._admitted: set[Connection] = set()
+        # Connections without an open request, the one that is idle for the longest time first.
+        self._idle_conns: dict[Connection, None] = {}
         self._open = 0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -227,9 +256,35 @@
         self._web.pre_shutdown()
         await self._web.shutdown(LINGER_S)
 
-    def has_too_many_connections(self) -> bool:
-        """Return whether more connections than allowed are open."""
-        return len(self._web.connections) > self._max_requests * CONNECTIONS_PER_REQUEST
+    def admit(self, conn: Connection) -> bool:
+        """Admit a new connection, in place of an idle one if too many are open.
+
+        Returns
+        -------
+        bool
+            False if each connection has an open request.
+        """
+        if len(self._admitted) >= self._max_requests * CONNECTIONS_PER_REQUEST:
+            idle = next(iter(self._idle_conns), None)
+            if idle is None:
+                return False
+            idle.close_idle()
+        self._admitted.add(conn)
+        return True
+
+    def leave(self, conn: Connection) -> None:
+        """Forget a connection that is closed."""
+        self._admitted.discard(conn)
+        self._idle_conns.pop(conn, None)
+
+    def on_idle(self, conn: Connection) -> None:
+        """Record that a connection has no open request."""
+        if conn in self._admitted:
+            self._idle_conns[conn] = None
+
+    def on_busy(self, conn: Connection) -> None:
+        """Record that a connection has an open request, or is closed."""
+        self._idle_conns.pop(conn, None)
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         conn = request.protocol
