Bound the memory for heads and bodies at the callers' listener

Cause: each connection read up to 512 KB of a body ahead, and each request kept a body of up to 1 MB and a head of up to 512 KB; nothing bounded their sum.

Callers saw: nothing yet; the process grew until its VM ends it.

Change: request_memory_mb (32) is shared by all heads and bodies, counted as received and as parsed; a request beyond it is refused with 4301, not run. A call keeps its share until it ends, also when its caller has left. Of a body 16 KB are read ahead, and the kernel keeps 32 KB of the input of a connection. memorybudget moves out of forwarding/, as both interfaces use it.

--- a/src/lovageway/adapters/_listener.py
+++ b/src/lovageway/adapters/_listener.py
@@ -2,20 +2,23 @@
 
 Load pattern: clients that nobody controls open connections and send nothing, send heads and bodies
 of the permitted size that do not end, or do not read their answers. An idle connection gives way to
-a new one.
+a new one; the heads and bodies of all requests share a budget of memory.
 """
 
 import asyncio
 import json
+import socket
+from collections import deque
 from collections.abc import Awaitable, Callable
 
-from aiohttp import web
+from aiohttp import StreamReader, web
 from aiohttp.http import HttpProcessingError
 from aiohttp.http_exceptions import LineTooLong
 from aiohttp.web_protocol import RequestHandler
 
 from lovageway.adapters._http import BACKLOG, MAX_BODY_BYTES, SOCKET_TIMEOUT_S, encode_refusal
 from lovageway.codes import INFO, Code, Refusal
+from lovageway.memorybudget import MemoryBudget, MemoryReservation
 
 MAX_LINE_BYTES = 8190  # of the request line and of each header
 MAX_HEADERS = 64
@@ -25,6 +28,11 @@
 FULL_RETRY_AFTER_S = 1.0
 FLUSH_POLL_S = 0.05  # interval at which a stop checks whether all responses are sent
 LATE_READ_GRACE_S = 0.05  # time to read a request that arrived while the process was suspended
+READ_BUFFER_BYTES = 16 * 1024  # of a body, for each connection; reading pauses at twice as much
+RECEIVE_BYTES = 32 * 1024  # that the kernel keeps of a connection's input
+HEAD_COPIES = 2  # of a head: as received, and as parsed
+BODY_COPIES = 2  # of a body: as received, and as parsed
+NO_MEMORY = Refusal(Code.QUEUE_FULL, "No memory for another request.", FULL_RETRY_AFTER_S)
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 OnRefusal = Callable[[Code], None]
@@ -62,8 +70,12 @@
     __slots__ = (
         "_deadline",
         "_has_input",
+        "_head_bytes",
+        "_head_sizes",
         "_last_unsent_bytes",
         "_listener",
+        "_memory",
+        "_payload",
         "_refused",
     )
 
@@ -79,12 +91,17 @@
             max_field_size=MAX_LINE_BYTES,
             max_headers=MAX_HEADERS,
             lingering_time=LINGER_S,
+            read_bufsize=READ_BUFFER_BYTES,
             auto_decompress=False,
         )
         self._listener = listener
         self._deadline: asyncio.TimerHandle | None = None
         self._has_input = self._refused = False
         self._last_unsent_bytes = 0
+        self._memory = MemoryReservation(listener.memory)  # of heads
+        self._head_bytes = 0  # received of the next head
+        self._head_sizes: deque[int] = deque()  # of the requests that are read and not answered
+        self._payload: StreamReader | None = None  # body of the request that was read last
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the deadline, or refuse the connection when too many are open."""
@@ -95,7 +112,7 @@
             self._refuse(Refusal(Code.QUEUE_FULL, "Too many connections.", FULL_RETRY_AFTER_S))
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Cancel the deadline and make room for another connection."""
+        """Cancel the deadline and release the memory."""
         self.cancel_deadline()
         self._leave()
         super().connection_lost(exc)
@@ -108,6 +125,7 @@
 
     def _leave(self) -> None:
         self._refused = True
+        self._memory.release()
         self._listener.leave(self)
 
     def data_received(self, data: bytes) -> None:
@@ -115,7 +133,33 @@
         self._has_input = True
         if self._refused:
             return
+        is_body = self._payload is not None and not self._payload.is_eof()
+        requests = self._request_count
         super().data_received(data)
+        if is_body:
+            return
+        self._head_bytes += len(data)
+        if not self._memory.reserve(HEAD_COPIES * len(data)):
+            self._on_no_memory()
+        elif self._request_count > requests:
+            self._payload = self._messages[-1][1]
+            self._head_sizes.append(self._head_bytes)
+            self._head_sizes.extend([0] * (self._request_count - requests - 1))
+            self._head_bytes = 0
+
+    def _on_no_memory(self) -> None:
+        """Refuse a head for which there is no memory, or close after the answers before it."""
+        if self._head_sizes:
+            self._refused = True
+            self.close()
+        else:
+            self._refuse(NO_MEMORY._replace(earlier="unknown"))
+
+    def on_answered(self) -> None:
+        """Release the memory of a head, and start the deadline for reading the next request."""
+        size = self._head_sizes.popleft() if self._head_sizes else 0
+        self._memory.resize(max(0, self._memory.size - HEAD_COPIES * size))
+        self.start_deadline()
 
     def start_deadline(self) -> None:
         """Start the deadline for reading the next request."""
@@ -209,10 +253,13 @@
         Maximum number of open requests; further ones are refused with QUEUE_FULL.
     on_refusal
         Called with the code of each refusal that the listener sends.
+    memory
+        Budget for the heads of requests.
     """
 
-    def __init__(self, max_requests: int, on_refusal: OnRefusal) -> None:
+    def __init__(self, max_requests: int, on_refusal: OnRefusal, memory: MemoryBudget) -> None:
         self.on_refusal = on_refusal
+        self.memory = memory
         self._max_requests = max_requests
         self._admitted: set[Connection] = set()
         # Connections without an open request, the one that is idle for the longest time first.
@@ -229,6 +276,8 @@
         self._server = await asyncio.get_running_loop().create_server(
             lambda: Connection(self, self._web), host, port, backlog=BACKLOG, start_serving=False
         )
+        for sock in self._server.sockets:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
         name = self._server.sockets[0].getsockname()
         return f"{name[0]}:{name[1]}"
 
@@ -306,7 +355,7 @@
             self._open -= 1
             if self._open == 0:
                 self._idle.set()
-            conn.start_deadline()
+            conn.on_answered()
 
 
 def refusal_response(
@@ -330,13 +379,19 @@
     )
 
 
-async def read_body(request: web.BaseRequest) -> bytes:
+async def read_body(request: web.BaseRequest, memory: MemoryReservation) -> bytes:
     """Return the body of a request.
 
+    Parameters
+    ----------
+    memory
+        Reserves the memory of the body.
+
     Raises
     ------
     BadRequestError
-        If the body is too large, malformed or not received within BODY_TIMEOUT_S.
+        If the body is too large, malformed or not received within BODY_TIMEOUT_S, or there is no
+        memory for it.
     """
     too_large = BadRequestError(Refusal(Code.TOO_LARGE, f"At most {MAX_BODY_BYTES} bytes."))
     if (request.content_length or 0) > MAX_BODY_BYTES:
@@ -347,6 +402,8 @@
     try:
         async with asyncio.timeout(BODY_TIMEOUT_S):
             while chunk := await request.content.readany():
+                if not memory.reserve(BODY_COPIES * len(chunk)):
+                    raise BadRequestError(NO_MEMORY)
                 data += chunk
                 if len(data) > MAX_BODY_BYTES:
                     raise too_large
--- a/src/lovageway/adapters/callers.py
+++ b/src/lovageway/adapters/callers.py
@@ -23,6 +23,7 @@
 from lovageway.controllers.discovery import TTL_S
 from lovageway.events import Request, StreamCancelled
 from lovageway.exchange import BackendClients, Exchange, Opened
+from lovageway.memorybudget import MemoryBudget, MemoryReservation
 from lovageway.model import Contract
 from lovageway.runtime import Runtime
 from lovageway.timing import Timing
@@ -49,6 +50,8 @@
         Keys of resume tokens. The first signs new tokens, all are accepted.
     on_refusal
         Called with the code of each refusal.
+    memory
+        Budget for the bodies of requests.
     """
 
     def __init__(
@@ -58,43 +61,50 @@
         timing: Timing,
         resume_keys: Sequence[bytes],
         on_refusal: OnRefusal,
+        memory: MemoryBudget,
     ) -> None:
         self._runtime = runtime
         self._backends = backends
         self._timing = timing
         self._resume_keys = tuple(resume_keys)
         self._on_refusal = on_refusal
+        self._memory = memory
         self._calls: set[asyncio.Task[None]] = set()
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one HTTP request."""
         request_id = secrets.token_hex(12)
+        memory = MemoryReservation(self._memory)
         try:
-            return await self._route(request, request_id)
+            return await self._route(request, request_id, memory)
         except BadRequestError as exc:
             refusal = exc.refusal
             if "Idempotency-Key" in request.headers:
                 # No row was looked up, so an earlier call with the key may have run.
                 refusal = refusal._replace(earlier="unknown")
             return refusal_response(refusal, self._on_refusal, request_id)
+        finally:
+            memory.release()
 
     async def wait_for_calls(self) -> None:
         """Wait for the plain calls that are still running after their caller disconnected."""
         if self._calls:
             await asyncio.wait(self._calls)
 
-    async def _route(self, request: web.BaseRequest, request_id: str) -> web.StreamResponse:
+    async def _route(
+        self, request: web.BaseRequest, request_id: str, memory: MemoryReservation
+    ) -> web.StreamResponse:
         match request.method, request.path.strip("/").split("/"):
             case "POST", ["v1", "completions"]:
-                return await self._complete(request, request_id, chat=False)
+                return await self._complete(request, request_id, memory, chat=False)
             case "POST", ["v1", "chat", "completions"]:
-                return await self._complete(request, request_id, chat=True)
+                return await self._complete(request, request_id, memory, chat=True)
             case "POST", ["v1", "streams", "resume"]:
-                return await self._resume(request, request_id)
+                return await self._resume(request, request_id, memory)
             case "DELETE", ["v1", "streams"]:
-                return await self._cancel(request, request_id)
+                return await self._cancel(request, request_id, memory)
             case "POST", ["v1", "services", service, name]:
-                return await self._call(request, request_id, service, name)
+                return await self._call(request, request_id, memory, service, name)
             case "GET", ["v1", "models"]:
                 return self._list_models(request, request_id)
             case "GET", ["v1", "discovery"]:
@@ -137,9 +147,9 @@
         return json_response({"object": "list", "data": models}, _id_header(request_id))
 
     async def _complete(
-        self, request: web.BaseRequest, request_id: str, chat: bool
+        self, request: web.BaseRequest, request_id: str, memory: MemoryReservation, chat: bool
     ) -> web.StreamResponse:
-        body = await _json_body(request)
+        body = await _json_body(request, memory)
         prompt = _chat_prompt(body) if chat else _required_string(body, "prompt")
         max_tokens = body.get("max_tokens", body.get("max_completion_tokens", DEFAULT_MAX_TOKENS))
         if not isinstance(max_tokens, int) or isinstance(max_tokens, bool) or max_tokens < 1:
@@ -202,15 +212,19 @@
         assert events.response is not None
         return events.response
 
-    async def _verify_token(self, request: web.BaseRequest) -> resume.ResumeToken:
-        text = _required_string(await _json_body(request), "resume_token")
+    async def _verify_token(
+        self, request: web.BaseRequest, memory: MemoryReservation
+    ) -> resume.ResumeToken:
+        text = _required_string(await _json_body(request, memory), "resume_token")
         verified = resume.verify(self._resume_keys, text)
         if verified.is_error():
             raise BadRequestError(verified.error)
         return verified.ok
 
-    async def _resume(self, request: web.BaseRequest, request_id: str) -> web.StreamResponse:
-        token = await self._verify_token(request)
+    async def _resume(
+        self, request: web.BaseRequest, request_id: str, memory: MemoryReservation
+    ) -> web.StreamResponse:
+        token = await self._verify_token(request, memory)
         req = Request(
             request_id, _api_key(request), token.service, "completions", "", 0, 0, resume=token
         )
@@ -218,17 +232,24 @@
         completion_format = CompletionFormat(request_id, token.service, token.chat)
         return await self._stream(request, exchange, completion_format, token.service, token.chat)
 
-    async def _cancel(self, request: web.BaseRequest, request_id: str) -> web.StreamResponse:
-        token = await self._verify_token(request)
+    async def _cancel(
+        self, request: web.BaseRequest, request_id: str, memory: MemoryReservation
+    ) -> web.StreamResponse:
+        token = await self._verify_token(request, memory)
         if self._require_contract(request).account != token.account:
             raise BadRequestError(Refusal(Code.BAD_RESUME_TOKEN))
         self._runtime.submit(StreamCancelled(token))
         return json_response({"cancelled": True}, _id_header(request_id))
 
     async def _call(
-        self, request: web.BaseRequest, request_id: str, service: str, name: str
+        self,
+        request: web.BaseRequest,
+        request_id: str,
+        memory: MemoryReservation,
+        service: str,
+        name: str,
     ) -> web.StreamResponse:
-        body, key = await read_body(request), request.headers.get("Idempotency-Key")
+        body, key = await read_body(request, memory), request.headers.get("Idempotency-Key")
         if key is not None and not (0 < len(key) <= MAX_KEY_CHARS and key.isprintable()):
             detail = f"Idempotency-Key needs 1 to {MAX_KEY_CHARS} printable characters."
             raise BadRequestError(Refusal(Code.MALFORMED, detail))
@@ -249,6 +270,8 @@
         call = asyncio.create_task(self._new_exchange(req, body).run(collector.send))
         self._calls.add(call)
         call.add_done_callback(self._calls.discard)
+        kept = memory.transfer()
+        call.add_done_callback(lambda _: kept.release())
         await asyncio.shield(call)
         if collector.refusal is not None:
             return refusal_response(collector.refusal, self._on_refusal, request_id)
@@ -260,9 +283,9 @@
     return {"X-Request-Id": request_id}
 
 
-async def _json_body(request: web.BaseRequest) -> dict[str, Any]:
+async def _json_body(request: web.BaseRequest, memory: MemoryReservation) -> dict[str, Any]:
     try:
-        body = json.loads(await read_body(request))
+        body = json.loads(await read_body(request, memory))
     except (ValueError, RecursionError) as exc:
         raise BadRequestError(Refusal(Code.MALFORMED, f"Body is not JSON: {exc}.")) from exc
     if not isinstance(body, dict):
--- a/src/lovageway/daemon.py
+++ b/src/lovageway/daemon.py
@@ -49,6 +49,7 @@
     VmListRead,
 )
 from lovageway.exchange import BackendClients
+from lovageway.memorybudget import MemoryBudget
 from lovageway.messages import Message
 from lovageway.metrics import Metrics
 from lovageway.model import Identity
@@ -136,7 +137,8 @@
     async def _start_listeners(self, start_id: str) -> None:
         """Bind the listeners, create the node and print the addresses as one line of JSON."""
         daemon = self._cfg.daemon
-        self._listener = Listener(daemon.max_open_requests, self._count_refusal)
+        memory = MemoryBudget(int(daemon.request_memory_mb * 1e6))
+        self._listener = Listener(daemon.max_open_requests, self._count_refusal, memory)
         address = await self._listener.bind(*_host_port(daemon.listen))
         self._operators = build_server(
             *_host_port(daemon.operator_listen), OPERATOR_THREADS, self._count_refusal
@@ -151,7 +153,7 @@
         operator_keys = [read_secret(path) for path in self._cfg.keys.operator_key_files]
         resume_keys = [read_secret(path) for path in self._cfg.keys.resume_key_files]
         self._callers = CallerApp(
-            self._runtime, backends, self._metrics.timing, resume_keys, self._count_refusal
+            self._runtime, backends, self._metrics.timing, resume_keys, self._count_refusal, memory
         )
         self._operators.max_request_body_size = MAX_DRAIN_BYTES
         self._operators.wsgi_app = OperatorApp(
--- a/src/lovageway/forwarding/connectionmemory.py
+++ b/src/lovageway/forwarding/connectionmemory.py
@@ -14,7 +14,7 @@
 
 from typing import Protocol
 
-from lovageway.forwarding.memorybudget import DEFAULT_MEMORY_MB
+from lovageway.memorybudget import DEFAULT_MEMORY_MB
 
 SHARE = 1 / 6  # of the daemon's configured memory limit
 CONNECTION_BYTES = 12 * 1024  # a connection without a request, with its buffers
--- a/src/lovageway/forwarding/request.py
+++ b/src/lovageway/forwarding/request.py
@@ -11,7 +11,6 @@
 from lovageway.forwarding import placement, resend
 from lovageway.forwarding.admissionqueue import Need, Rank
 from lovageway.forwarding.connections import Inbound
-from lovageway.forwarding.memorybudget import MemoryReservation
 from lovageway.forwarding.model import Account, Repeat, RequestHead, Route, Service
 from lovageway.forwarding.placement import Work
 from lovageway.forwarding.replicas import Entry
@@ -19,6 +18,7 @@
 from lovageway.forwarding.state import State
 from lovageway.forwarding.streamtiming import StreamTiming
 from lovageway.forwarding.traits import Trait, fingerprint, part_traits
+from lovageway.memorybudget import MemoryReservation
 
 ANSWER_MARGIN_S = 0.03  # kept free before the deadline for the answer to reach the client
 # Shares of the remaining time that a request may spend in the admission queue.
--- a/src/lovageway/forwarding/state.py
+++ b/src/lovageway/forwarding/state.py
@@ -6,7 +6,8 @@
 from random import Random
 from typing import Any, Protocol
 
-from lovageway.forwarding import fleetshare, memorybudget, placement, resend, statements
+from lovageway import memorybudget
+from lovageway.forwarding import fleetshare, placement, resend, statements
 from lovageway.forwarding.admissionqueue import AdmissionQueue
 from lovageway.forwarding.connectionmemory import ConnectionMemory
 from lovageway.forwarding.eventlog import EventLog
@@ -14,7 +15,6 @@
 from lovageway.forwarding.lifecycle import Lifecycle
 from lovageway.forwarding.load import Load, LoadTracker
 from lovageway.forwarding.members import STARTING, MemberFacts, Members
-from lovageway.forwarding.memorybudget import MemoryBudget
 from lovageway.forwarding.migration import LeavingRun, MigrationSchedule
 from lovageway.forwarding.mirror import Mirror
 from lovageway.forwarding.model import DaemonSettings, RoutingConfig, Service
@@ -28,6 +28,7 @@
 from lovageway.forwarding.statements import Statements
 from lovageway.forwarding.telemetry import Telemetry
 from lovageway.forwarding.tokenpace import TokenPace
+from lovageway.memorybudget import MemoryBudget
 from lovageway.platform import heads, names, records
 
 LOADS_KNOWN_S = 4.0  # after the start, until the others have reported their load
--- a/src/lovageway/forwarding/memorybudget.py
+++ b/src/lovageway/memorybudget.py
@@ -1,4 +1,4 @@
-"""Limits the memory that a daemon uses for the bodies of requests and answers."""
+"""Limits the memory that a daemon uses for requests and answers."""
 
 # Shares of the daemon's configured memory limit (`limits.memory_mb` of the settings).
 BODY_SHARE = 1 / 3  # for the bodies of requests that have not ended
@@ -67,3 +67,9 @@
         """Release all bytes of this reservation."""
         self._budget.release(self.size)
         self.size = 0
+
+    def transfer(self) -> "MemoryReservation":
+        """Return a reservation that holds all bytes of this one, which then holds none."""
+        other = MemoryReservation(self._budget)
+        other.size, self.size = self.size, 0
+        return other
--- a/src/lovageway/settings.py
+++ b/src/lovageway/settings.py
@@ -33,6 +33,13 @@
     max_open_requests: int = Field(
         1000, ge=4, le=10000, description="Requests served at the same time; more are refused."
     )
+    request_memory_mb: int = Field(
+        32,
+        ge=4,
+        le=4096,
+        description="Memory in MB for the heads and bodies of open requests; a request beyond it "
+        "is refused with QUEUE_FULL.",
+    )
 
 
 class PlatformSettings(_Section):
--- a/tests/test_crowd_serve_processes.py
+++ b/tests/test_crowd_serve_processes.py
@@ -108,11 +108,30 @@
         request = crowd.short_lines(HEAD_BYTES, f"GET /v1/models HTTP/1.1\r\n{KEY_LINE}")
         await self.flood(crowd.repeated(request, BYTES_AHEAD))
 
+    async def test_heads_of_long_lines_that_do_not_end(self):
+        line = f"x-%d: {'v' * LONG_LINE_BYTES}\r\n"
+        head = COMPLETION + "".join(line % number for number in range(LONG_HEAD_LINES))
+        await self.flood(head.encode())
+
     async def test_requests_sent_ahead(self):
         request = f"GET /v1/models HTTP/1.1\r\nHost: d\r\n{KEY_LINE}\r\n".encode()
         await self.flood(crowd.repeated(request, BYTES_AHEAD))
         await self.flood(crowd.repeated(b"GET /v1/models HTTP/1.1\r\n\r\n", BYTES_AHEAD))
 
+    async def test_bodies_above_the_limit(self):
+        await self.flood(with_body(CALL, b"x" * LARGE_BODY_BYTES))
+        await self.flood(
+            f"{CALL}Transfer-Encoding: chunked\r\n\r\n".encode()
+            + b"10000\r\n%b\r\n" % (b"x" * 65536) * (LARGE_BODY_BYTES // 65536)
+        )
+
+    async def test_bodies_within_the_limit_that_do_not_end(self):
+        await self.flood(with_body(CALL, b"x" * BODY_BYTES)[:-1])
+        await self.flood(with_body(COMPLETION, b" " * BODY_BYTES)[:-1])
+
+    async def test_bodies_sent_ahead(self):
+        await self.flood(with_body(CALL, b"x" * BODY_BYTES) * 2)
+
     async def test_idle_connections(self):
         socks = await asyncio.to_thread(crowd.connect_all, HOST, self.port, CONNECTIONS)
         try:
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -12,6 +12,7 @@
 from standins.streams import KEY, Stream
 
 from lovageway.adapters import _listener
+from lovageway.memorybudget import MemoryBudget
 from tests.builders import contract_row, jar_returns_rows
 
 LIMIT = 4
@@ -123,7 +124,7 @@
         # Shortens the time for which a caller may read nothing and the wait at the end of a stop.
         self.enterContext(mock.patch.object(_listener, "SOCKET_TIMEOUT_S", 0.5))
         self.enterContext(mock.patch.object(_listener, "LINGER_S", 0.1))
-        self.listener = _listener.Listener(LIMIT, lambda code: None)
+        self.listener = _listener.Listener(LIMIT, lambda code: None, MemoryBudget(1 << 30))
         address = await self.listener.bind("127.0.0.1", 0)
         await self.listener.start(self.answer)
         self.conn = self.enterContext(socket.socket())
@@ -163,7 +164,7 @@
     async def asyncSetUp(self):
         self.enterContext(mock.patch.object(_listener, "SOCKET_TIMEOUT_S", self.TIMEOUT_S))
         self.enterContext(mock.patch.object(_listener, "LINGER_S", 0.1))
-        self.listener = _listener.Listener(LIMIT, lambda code: None)
+        self.listener = _listener.Listener(LIMIT, lambda code: None, MemoryBudget(1 << 30))
         address = await self.listener.bind("127.0.0.1", 0)
         await self.listener.start(self.answer)
         self.addAsyncCleanup(self.listener.stop)
