Clip the texts in lines of the log

Cause: the id of a request, of up to 16 KB, stands in each of its lines; up to 2,000 lines wait while the output is not read, which are 32 MB, and 200 lines a second are 3.2 MB a second of output.

Change: a text in a line has at most 1,000 characters.

Result: the new test in test_eventlog cannot be imported before (no bound) and passes. The crowd of long ids (tests.test_crowd_processes) passed before, as its log is a file.

--- a/src/lovageway/forwarding/eventlog.py
+++ b/src/lovageway/forwarding/eventlog.py
@@ -14,6 +14,7 @@
 LINES_PER_S = 200.0
 BURST = 400.0  # lines
 MAX_QUEUED_LINES = 2000  # queued while the reader of stdout does not read
+MAX_VALUE_CHARS = 1000  # of a text in a line; clients choose the ids of their requests
 
 
 class _Writer:
@@ -61,6 +62,10 @@
             self.dropped += len(lines)
 
 
+def _clip(value: object) -> object:
+    return value[:MAX_VALUE_CHARS] if isinstance(value, str) else value
+
+
 class EventLog:
     """Logger of one daemon.
 
@@ -94,7 +99,7 @@
         if left_out:
             fields["lines_left_out"] = left_out
             self._left_out = self._writer.dropped = 0
-        self._logger.info(event, **fields)
+        self._logger.info(event, **{name: _clip(value) for name, value in fields.items()})
 
     def flush(self) -> None:
         """Write the queued lines soon, in the writer thread."""
--- a/tests/test_eventlog.py
+++ b/tests/test_eventlog.py
@@ -9,7 +9,7 @@
 from unittest import mock
 
 from lovageway.forwarding import eventlog
-from lovageway.forwarding.eventlog import BURST, MAX_QUEUED_LINES, EventLog
+from lovageway.forwarding.eventlog import BURST, MAX_QUEUED_LINES, MAX_VALUE_CHARS, EventLog
 
 
 class Lines(unittest.TestCase):
@@ -22,6 +22,14 @@
         line = json.loads(out.getvalue())
         self.assertEqual((line["event"], line["daemon"], line["status"]), ("move", "d1", 200))
 
+    def test_a_text_of_a_client_is_clipped(self):
+        # Guards against lines of 16 KB, of which thousands wait while the output is not read.
+        log = EventLog()
+        log("request", id="i" * 16384, servers=["s"])
+        line = json.loads(log._writer._lines[-1])
+        self.assertEqual(line["id"], "i" * MAX_VALUE_CHARS)
+        self.assertEqual(line["servers"], ["s"])
+
     def test_the_rate_of_lines_is_limited_and_dropped_lines_are_reported(self):
         # Guards against logging that costs more than the requests under load.
         with mock.patch.object(eventlog.time, "monotonic", return_value=100.0) as clock:
