Send 100 Continue once a request, and only between two answers

Cause: it was written for each Expect line as soon as the head was parsed, whatever else the connection was doing: a head of 16 KB brought 650 of them, unread and counted by nothing, and a request sent ahead put them into the middle of the answer before it.

Callers saw: an answer in chunks with foreign bytes in it, if the next request on its connection expected a continue.

Change: a request's expectation is kept, and answered once, when no answer is being written, none is due and the client reads. The client sends its body then, or without it, as the protocol allows.

Result: the new test in test_connections failed before (20 of them within a stream) and passes.

--- a/src/lovageway/forwarding/connections.py
+++ b/src/lovageway/forwarding/connections.py
@@ -119,6 +119,7 @@
         self._unparsed_bytes = 0  # received since the last parser callback
         self._in_message = False
         self._head_done = False
+        self._expects_continue = False  # the client waits before it sends the body
         self._message_started_at = 0.0
         self._queue: deque[Inbound] = deque()
         self._discarding = False
@@ -215,6 +216,7 @@
         """Reset the state for a new request."""
         self._in_message = True
         self._head_done = False
+        self._expects_continue = False
         self._message_started_at = self._clock()
         self._url, self._headers, self._body = b"", [], bytearray()
 
@@ -250,8 +252,16 @@
                 self._reject(501, "only the chunked transfer coding is served")
             elif lower == b"content-length" and int(value) > limits.body_bytes:
                 self._reject(413, "the body exceeds the limit")
-            elif lower == b"expect" and not self._discarding:
-                self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            elif lower == b"expect":
+                self._expects_continue = True
+        self._write_continue()
+
+    def _write_continue(self) -> None:
+        """Ask for the body of a request that waits for it, once, between two answers."""
+        is_due = self._expects_continue and self._in_message and not self._discarding
+        if is_due and self.current is None and not self._queue and self._writable.is_set():
+            self._expects_continue = False
+            self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body, within the limits for bodies."""
@@ -296,6 +306,8 @@
 
     def _serve_next(self) -> None:
         """Serve the next request, unless the client does not read the answers before it."""
+        if self._expects_continue:
+            self._write_continue()
         if self.current is not None or not self._queue or self.closed or self._close_after:
             return
         if self._writable.is_set():
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -18,6 +18,7 @@
         super().__init__()
         self.written = b""
         self.ended = None
+        self.unread = 0  # bytes that the client has not read
 
     def write(self, data):
         self.written += data
@@ -26,7 +27,10 @@
         self.ended = self.ended or "closed"
 
     def abort(self):
-        self.ended = self.ended or "aborted"
+        self.ended = "aborted" if self.unread or self.ended is None else self.ended
+
+    def get_write_buffer_size(self):
+        return self.unread
 
     def can_write_eof(self):
         return False
@@ -159,6 +163,22 @@
         self.conn.data_received(b"x")
         self.assertEqual(self.handler.requests[0].body, b"x")
 
+    async def test_a_continue_is_asked_for_once_and_not_within_another_answer(self):
+        # Guards against heads with very many such lines, and a line in the middle of a stream.
+        self.connect()
+        self.conn.data_received(REQUEST)
+        self.conn.start(200, [])
+        expect = b"Expect: 100-continue\r\n" * 20
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n" + expect + b"\r\n"
+        self.conn.data_received(head)
+        self.conn.send(b"x")
+        self.assertNotIn(b"100 Continue", self.transport.written)
+        self.conn.end()
+        await asyncio.sleep(0)
+        self.assertEqual(self.transport.written.count(b"100 Continue"), 1)
+        self.conn.data_received(b"y")
+        self.assertEqual(self.handler.requests[-1].body, b"y")
+
     async def test_bodies_beyond_the_memory_limit_are_refused_with_a_retry_time(self):
         # Guards against a daemon that runs out of memory because of many large bodies at once.
         self.connect()
