Reset a closed client connection whose client reads nothing

Cause: close() keeps what is unread until the client has read it, and the check of time limits leaves out connections that are being closed. So one whose client reads nothing stayed for ever, with its descriptor and its memory, and a planned stop waited for it.

Callers saw: a stopping daemon that hangs until it is killed, and fewer connections for others.

A client that reads slowly is waited for, as before.

The process tests of a stop passed before, as the kernel on loopback takes 4 MB for a client that reads nothing.

--- a/src/lovageway/forwarding/connections.py
+++ b/src/lovageway/forwarding/connections.py
@@ -460,11 +460,28 @@
         if self._transport is None or self.closed:
             return
         if not has_pending_input and not self._in_message and not self._queue:
-            self._transport.close()
+            self._close()
             return
         if self._transport.can_write_eof():
             self._transport.write_eof()
-        asyncio.get_running_loop().call_later(LINGER_S, self._transport.close)
+        asyncio.get_running_loop().call_later(LINGER_S, self._close)
+
+    def _close(self) -> None:
+        """Close the connection once its client has read everything, or reads nothing more."""
+        if self._transport is not None and not self.closed:
+            self._transport.close()
+            self._abort_if_stalled()
+
+    def _abort_if_stalled(self, unread_before: int | None = None) -> None:
+        """Abort a closing connection whose client has read nothing since the last call."""
+        if self._transport is None or self.closed:
+            return
+        unread = self._transport.get_write_buffer_size()
+        if unread and unread == unread_before:
+            self.abort()
+        elif unread:
+            loop = asyncio.get_running_loop()
+            loop.call_later(WRITE_STALL_TIMEOUT_S, self._abort_if_stalled, unread)
 
     def check_timeouts(self, now: float, *, close_idle: bool) -> None:
         """Enforce the time limits; called several times a second."""
@@ -494,5 +511,5 @@
         After the process was suspended, the timer and pending input are handled at the same time.
         """
         quiet = self.last_active_at == seen and self.current is None and not self._in_message
-        if quiet and self._transport is not None and not self.closed:
-            self._transport.close()
+        if quiet:
+            self._close()
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from lovageway.forwarding import connections
 from lovageway.forwarding.connections import IDLE_CLOSE_DELAY_S, ClientConnection
 from lovageway.forwarding.inputturns import InputTurns
 from lovageway.forwarding.model import RequestLimits
@@ -140,6 +142,32 @@
         self.conn.check_timeouts(self.now, close_idle=False)
         self.assertEqual(self.transport.ended, "aborted")
 
+    async def test_a_closed_connection_ends_when_its_client_reads_nothing_more(self):
+        # Guards against connections that stay, and keep a planned stop from ending.
+        self.connect()
+        self.transport.unread = 100
+        with mock.patch.multiple(connections, WRITE_STALL_TIMEOUT_S=0.02, LINGER_S=0.0):
+            self.conn.data_received(b"\0")
+            await self.until(lambda: self.transport.ended == "aborted")
+        self.assertIn(b" 400 ", self.transport.written)
+
+    async def test_a_closed_connection_stays_while_its_client_reads(self):
+        # Guards against an answer that a slow client loses.
+        self.connect()
+        self.transport.unread = 30
+        with mock.patch.multiple(connections, WRITE_STALL_TIMEOUT_S=0.02, LINGER_S=0.0):
+            self.conn.data_received(b"\0")
+            while self.transport.unread:
+                self.transport.unread -= 1
+                await asyncio.sleep(0.005)
+            await asyncio.sleep(0.05)
+        self.assertEqual(self.transport.ended, "closed")
+
+    async def until(self, condition):
+        async with asyncio.timeout(10.0):
+            while not condition():
+                await asyncio.sleep(0.005)
+
     async def test_an_answer_of_a_stopping_daemon_ends_the_connection(self):
         self.connect()
         self.conn.data_received(REQUEST)
