Serve operators with the listener of the callers

Cause: cheroot gives each new connection to one of 8 threads, which waits up to 10 s for its first bytes. 300 idle connections were 375 s of work, during which no operator was served; a client that sent a byte now and then could hold a thread for as long as it liked. A body of up to 8 MB was read of anybody.

Operators saw: commands that get no answer, at a daemon that serves callers well.

Change: the operators' listener is the one of the callers, on the event loop, with its limits (64 open requests, 8 MB for heads and bodies).

Result: tests.test_crowd_serve_processes.Operators.test_idle_connections failed before (no answer to an operator within 30 s) and passes; the other crowds at that address passed before and pass. test_operator, test_operators_guide, test_serving and test_demo: 22 passed with these.

--- a/src/lovageway/daemon.py
+++ b/src/lovageway/daemon.py
@@ -15,13 +15,12 @@
 
 import structlog
 
-from lovageway.adapters._http import build_server
 from lovageway.adapters._listener import Listener
 from lovageway.adapters.callers import CallerApp
 from lovageway.adapters.engines import EngineClient
 from lovageway.adapters.generations import GenerationClient
 from lovageway.adapters.loads import LoadReader
-from lovageway.adapters.operators import MAX_DRAIN_BYTES, OperatorApp
+from lovageway.adapters.operators import OperatorApp
 from lovageway.adapters.peers import PeerTransport
 from lovageway.adapters.services import PlainServiceClient
 from lovageway.adapters.table import TableClient
@@ -62,7 +61,8 @@
 LOAD_THREADS = 16  # a daemon reads the load of about 13 servers at the target size
 TABLE_THREADS = 32
 CALL_THREADS = 128  # for plain calls; further calls wait for a thread
-OPERATOR_THREADS = 8
+OPERATOR_REQUESTS = 64  # open at the same time, most of which wait for a thread
+OPERATOR_MEMORY_BYTES = 8_000_000  # for the heads and bodies of operators' requests
 
 log = structlog.get_logger()
 
@@ -125,7 +125,8 @@
         await self._listener.stop()
         await self._callers.wait_for_calls()
         await self._generations.close()
-        await asyncio.to_thread(self._operators.stop)
+        await self._operators.stop()
+        self._operator_app.close()
         self._next_tick.cancel()
         self._load_pool.shutdown(wait=False, cancel_futures=True)
         # Submitted writes to the table service are completed.
@@ -140,10 +141,9 @@
         memory = MemoryBudget(int(daemon.request_memory_mb * 1e6))
         self._listener = Listener(daemon.max_open_requests, self._count_refusal, memory)
         address = await self._listener.bind(*_host_port(daemon.listen))
-        self._operators = build_server(
-            *_host_port(daemon.operator_listen), OPERATOR_THREADS, self._count_refusal
-        )
-        self._operators.prepare()
+        operator_memory = MemoryBudget(OPERATOR_MEMORY_BYTES)
+        self._operators = Listener(OPERATOR_REQUESTS, self._count_refusal, operator_memory)
+        operator_address = await self._operators.bind(*_host_port(daemon.operator_listen))
         ident = Identity(daemon.vm_id, start_id, daemon.zone, address, self._peers.address)
         self._runtime = Runtime(
             Node(ident, random.Random(), self._build_options()), time.monotonic, self._perform
@@ -155,16 +155,19 @@
         self._callers = CallerApp(
             self._runtime, backends, self._metrics.timing, resume_keys, self._count_refusal, memory
         )
-        self._operators.max_request_body_size = MAX_DRAIN_BYTES
-        self._operators.wsgi_app = OperatorApp(
-            self._runtime, operator_keys, self._metrics.registry, self._sent_traffic
+        self._operator_app = OperatorApp(
+            self._runtime,
+            operator_keys,
+            self._metrics.registry,
+            self._sent_traffic,
+            operator_memory,
         )
-        threading.Thread(target=self._operators.serve, daemon=True).start()
+        await self._operators.start(self._operator_app.serve)
         await self._listener.start(self._callers.serve)
         ready = {
             "listen": address,
             "peer_listen": self._peer_listen,
-            "operator_listen": _bound_address(self._operators),
+            "operator_listen": operator_address,
         }
         print(json.dumps(ready), flush=True)
         log.info("serving", vm_id=daemon.vm_id, start_id=start_id, **ready)
@@ -317,8 +320,3 @@
 def _host_port(text: str) -> tuple[str, int]:
     host, _, port = text.rpartition(":")
     return host.strip("[]"), int(port)
-
-
-def _bound_address(server: object) -> str:
-    host, port = server.bind_addr[:2]  # type: ignore[attr-defined]
-    return f"{host}:{port}"
--- a/tests/test_crowd_serve_processes.py
+++ b/tests/test_crowd_serve_processes.py
@@ -204,6 +204,17 @@
         data = with_body(head, b"x" * LARGE_BODY_BYTES)[:-1]
         await self.flood(data, self.port_of("operator_listen"))
 
+    async def test_idle_connections(self):
+        port = self.port_of("operator_listen")
+        socks = await asyncio.to_thread(crowd.connect_all, HOST, port, CONNECTIONS)
+        try:
+            await crowd.wait_until(self.is_serving, 3 * WAIT_S)
+            self.check()
+        finally:
+            for sock in socks:
+                sock.close()
+        await self.stop()
+
 
 class Peers(CrowdCase):
     """Guards against strangers at the listener for other daemons."""
