Let clients that are never served flood the daemons of the soak

Change: soak/rudeclients.py sends one kind of input after another to daemons chosen at random, 25 connections each: none, requests ahead, heads without end, huge numbers, garbage, tables requested and not read. Nothing of it may reach a server, so the promises that the soak checks stay as they are; it has a random generator of its own, so the faults of a seed do, too.

--- a/soak/run.py
+++ b/soak/run.py
@@ -8,6 +8,7 @@
 from soak.callers import Caller
 from soak.faults import Faults
 from soak.promises import check, check_budget, check_crashes, check_limits, check_rollouts
+from soak.rudeclients import run_rude_client
 from soak.servers import EngineServer
 from soak.world import EXPOSURE, RETRY_BUDGET, World
 
@@ -39,8 +40,11 @@
     callers = [Caller(number, world, observed) for number in range(CALLERS)]
     monitor = asyncio.create_task(_monitor_daemons(world))
     tasks = [asyncio.create_task(caller.run()) for caller in callers]
+    # Its own generator: the faults of a seed stay as they are.
+    rude = asyncio.create_task(run_rude_client(world, Random(f"rude {seed}")))
     try:
         await faults.run(seconds)
+        rude.cancel()
         await asyncio.sleep(SETTLE_S)
         for caller in callers:
             caller.stopping = True
@@ -65,8 +69,7 @@
         peak_mb = max(daemon.peak_mb for daemon in world.daemons)
         return Result(seed, len(observed), answered, faults.intervals, broken, peak_mb)
     finally:
-        monitor.cancel()
-        for task in tasks:
+        for task in [monitor, rude, *tasks]:
             task.cancel()
         await world.stop()
 
