Reserve the memory of a head before it is parsed

Cause: the callers' listener reserved the memory after aiohttp had parsed the input, so a request that the input completed was parsed, then refused as not run; that it isn't served, too, depended on when aiohttp cancels its task. A request that followed a body in the same input was not counted, and a connection whose request had been read but not begun counted as idle, so it could have been closed for a new one.

Change: the memory is reserved first; what cannot be reserved is not parsed. Each request that is read makes its connection busy and is counted.

Result: found by reading, not shown: the three new tests of tests.test_listener.Full pass on the code before, too. They hold what the listener promises when it is full.

--- a/src/lovageway/adapters/_listener.py
+++ b/src/lovageway/adapters/_listener.py
@@ -134,18 +134,19 @@
         if self._refused:
             return
         is_body = self._payload is not None and not self._payload.is_eof()
+        if not is_body:
+            if not self._memory.reserve(HEAD_COPIES * len(data)):
+                self._on_no_memory()
+                return
+            self._head_bytes += len(data)
         requests = self._request_count
         super().data_received(data)
-        if is_body:
-            return
-        self._head_bytes += len(data)
-        if not self._memory.reserve(HEAD_COPIES * len(data)):
-            self._on_no_memory()
-        elif self._request_count > requests:
+        if self._request_count > requests:
             self._payload = self._messages[-1][1]
             self._head_sizes.append(self._head_bytes)
             self._head_sizes.extend([0] * (self._request_count - requests - 1))
             self._head_bytes = 0
+            self._listener.on_busy(self)
 
     def _on_no_memory(self) -> None:
         """Refuse a head for which there is no memory, or close after the answers before it."""
@@ -163,7 +164,8 @@
 
     def start_deadline(self) -> None:
         """Start the deadline for reading the next request."""
-        self._listener.on_idle(self)
+        if not self._head_sizes:
+            self._listener.on_idle(self)
         self._has_input, self._last_unsent_bytes = False, self.unsent_bytes()
         self._schedule_deadline()
 
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import re
 import socket
 import time
 import unittest
@@ -158,6 +159,76 @@
             await self.listener.stop()
 
 
+class Full(unittest.IsolatedAsyncioTestCase):
+    HEAD = b"GET / HTTP/1.1\r\nHost: x\r\nx-pad: "
+
+    async def asyncSetUp(self):
+        self.served = 0
+        self.free = asyncio.Event()
+        self.free.set()
+        self.listener = _listener.Listener(LIMIT, lambda code: None, MemoryBudget(20_000))
+        address = await self.listener.bind("127.0.0.1", 0)
+        await self.listener.start(self.answer)
+        self.addAsyncCleanup(self.listener.stop)
+        host, _, port = address.rpartition(":")
+        self.address = host, int(port)
+
+    async def answer(self, request):
+        self.served += 1
+        await self.free.wait()
+        return web.Response(body=b"done")
+
+    async def connect(self):
+        reader, writer = await asyncio.open_connection(*self.address)
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    async def request(self, stream, head_bytes=1000):
+        """Send a request with a head of some size and return the status and the rest of input."""
+        reader, writer = stream
+        writer.write(self.HEAD.ljust(head_bytes, b"p") + b"\r\n\r\n")
+        async with asyncio.timeout(10):
+            head = await reader.readuntil(b"\r\n\r\n")
+            size = int(re.search(rb"(?i)content-length: (\d+)", head).group(1))
+            await reader.readexactly(size)
+        return int(head.split(b" ")[1])
+
+    async def test_a_head_without_memory_is_refused_once_and_not_served(self):
+        # Guards against a refusal that says "not run" of a request that then runs.
+        stream = await self.connect()
+        with mock.patch.object(self.listener.memory, "max_bytes", 500):
+            self.assertEqual(await self.request(stream), 503)
+        async with asyncio.timeout(10):
+            self.assertEqual(await stream[0].read(), b"")
+        self.assertEqual((self.served, self.listener.memory.reserved), (0, 0))
+
+    async def test_the_memory_of_a_head_is_released_with_its_answer(self):
+        # Guards against a daemon that refuses everything after some time.
+        stream = await self.connect()
+        for _ in range(30):
+            self.assertEqual(await self.request(stream, 7000), 200)
+        stream[1].close()
+        async with asyncio.timeout(10):
+            while self.listener.memory.reserved:
+                await asyncio.sleep(0.01)
+
+    async def test_an_idle_connection_gives_way_and_one_with_a_request_does_not(self):
+        # Guards against idle connections that keep callers out, and against a request cut off.
+        self.free.clear()
+        busy = await self.connect()
+        answer = asyncio.create_task(self.request(busy))
+        while not self.served:
+            await asyncio.sleep(0.01)
+        idle = [await self.connect() for _ in range(2 * LIMIT - 1)]
+        late = await self.connect()
+        async with asyncio.timeout(10):
+            self.assertEqual(await idle[0][0].read(), b"")
+        self.free.set()
+        self.assertEqual(await answer, 200)
+        for stream in (*idle[1:], late):
+            self.assertEqual(await self.request(stream), 200)
+
+
 class Frozen(unittest.IsolatedAsyncioTestCase):
     TIMEOUT_S = 0.2
 
