Let connections that have sent a part of a request give way last

Cause: a connection counted as unused until its request was complete, so a slow upload could be closed for another client's request while idle connections stayed.

Change: ConnectionMemory closes idle connections before those of which a part of a request has arrived; these still have the header timeout.

Result: the new test of the decision failed before (an upload was closed) and passes; 40 tests of the modules concerned pass.

--- a/src/lovageway/forwarding/connectionmemory.py
+++ b/src/lovageway/forwarding/connectionmemory.py
@@ -8,8 +8,8 @@
 
 Where the memory does not suffice, clients with large heads are refused first, so that ordinary
 ones, which need a few kilobytes, go on. A new connection, and a request that is not large, take the
-place of connections that are not in use: first of those whose clients read no answers, then of
-those that were inactive for the longest time.
+place of connections that are not in use: first of those whose clients read no answers, then of idle
+ones, then of those of which a part of a request has arrived; the least recently active goes first.
 """
 
 from typing import Protocol
@@ -37,6 +37,10 @@
     def is_unread(self) -> bool:
         """Return whether its client does not read the answers."""
 
+    @property
+    def is_receiving(self) -> bool:
+        """Return whether a part of a request has arrived."""
+
     def close_unused(self) -> None:
         """Close it without an answer, and release its memory."""
 
@@ -62,6 +66,7 @@
         # Connections that are not in use, the least recently active first.
         self._unread: dict[Connection, None] = {}
         self._resting: dict[Connection, None] = {}
+        self._receiving: dict[Connection, None] = {}
 
     def reserve(self, size: int, held: int, conn: Connection) -> bool:
         """Reserve memory for a connection, in place of others if necessary.
@@ -109,16 +114,24 @@
     def on_activity(self, conn: Connection) -> None:
         """Record that an admitted connection was active, or came into use or out of use."""
         self._forget(conn)
-        if not conn.is_in_use:
-            (self._unread if conn.is_unread else self._resting)[conn] = None
+        if conn.is_in_use:
+            return
+        if conn.is_unread:
+            self._unread[conn] = None
+        else:
+            (self._receiving if conn.is_receiving else self._resting)[conn] = None
 
     def _forget(self, conn: Connection) -> None:
-        self._unread.pop(conn, None)
-        self._resting.pop(conn, None)
+        for group in self._unused():
+            group.pop(conn, None)
+
+    def _unused(self) -> tuple[dict[Connection, None], ...]:
+        """Return the connections that are not in use, in the order in which they give way."""
+        return self._unread, self._resting, self._receiving
 
     def _evict(self, beneficiary: Connection) -> bool:
         """Close a connection that is not in use; return False if there is none."""
-        for group in (self._unread, self._resting):
+        for group in self._unused():
             for conn in group:
                 if conn is not beneficiary:
                     self.evicted += 1
--- a/src/lovageway/forwarding/connections.py
+++ b/src/lovageway/forwarding/connections.py
@@ -155,8 +155,8 @@
         """Parse input and start the next request if none is being served."""
         if not self._discarding:
             self.last_active_at = self._clock()
-            self._handler.on_activity(self)
             self._input.receive(data)
+            self._handler.on_activity(self)
 
     def _feed(self, data: bytes) -> bool:
         """Parse a slice of the input; return False once the connection's input is discarded."""
@@ -398,6 +398,11 @@
         """Return whether the client does not read the answers."""
         return not self._writable.is_set()
 
+    @property
+    def is_receiving(self) -> bool:
+        """Return whether a part of a request has arrived."""
+        return self._in_message
+
     def close_unused(self) -> None:
         """Close the connection for another one; its client gets no answer."""
         self.abort()
--- a/tests/test_connectionmemory.py
+++ b/tests/test_connectionmemory.py
@@ -15,6 +15,7 @@
         self.memory = memory
         self.is_in_use = in_use
         self.is_unread = unread
+        self.is_receiving = False
         self.is_closed = False
 
     def close_unused(self):
@@ -51,6 +52,15 @@
         self.connections(1)
         self.assertEqual([conn.is_closed for conn in conns].index(True), 3)
 
+    def test_a_request_that_arrives_gives_way_after_idle_connections(self):
+        # Guards against uploads that are cut off for a new connection.
+        conns = self.connections(6)
+        for conn in conns[:5]:
+            conn.is_receiving = True
+            self.memory.on_activity(conn)
+        self.connections(2)
+        self.assertEqual([conn.is_closed for conn in conns], [False] * 5 + [True])
+
     def test_connections_in_use_are_never_closed(self):
         # Guards against a request that is cut off for a new connection.
         conns = self.connections(6)
