--- a/tests/test_crowd_serve_processes.py
+++ b/tests/test_crowd_serve_processes.py
@@ -87,6 +87,17 @@
         await crowd.wait_until(self.is_serving, 3 * WAIT_S)
         self.check()
 
+    async def hold_idle(self, port):
+        """Open idle connections, check that ordinary requests are answered, and stop the daemon."""
+        socks = await asyncio.to_thread(crowd.connect_all, HOST, port, CONNECTIONS)
+        try:
+            await crowd.wait_until(self.is_serving, 3 * WAIT_S)
+            self.check()
+        finally:
+            for sock in socks:
+                sock.close()
+        await self.stop()
+
     def check(self):
         """Check that the process lives within its memory and its descriptors."""
         self.assertIsNone(self.daemon.popen.poll())
@@ -205,15 +216,7 @@
         await self.flood(data, self.port_of("operator_listen"))
 
     async def test_idle_connections(self):
-        port = self.port_of("operator_listen")
-        socks = await asyncio.to_thread(crowd.connect_all, HOST, port, CONNECTIONS)
-        try:
-            await crowd.wait_until(self.is_serving, 3 * WAIT_S)
-            self.check()
-        finally:
-            for sock in socks:
-                sock.close()
-        await self.stop()
+        await self.hold_idle(self.port_of("operator_listen"))
 
 
 class Peers(CrowdCase):
@@ -226,12 +229,4 @@
         await self.flood(b"\0\0\1\0" * (BYTES_AHEAD // 4), self.port_of("peer_listen"))
 
     async def test_idle_connections(self):
-        port = self.port_of("peer_listen")
-        socks = await asyncio.to_thread(crowd.connect_all, HOST, port, CONNECTIONS)
-        try:
-            await crowd.wait_until(self.is_serving, 3 * WAIT_S)
-            self.check()
-        finally:
-            for sock in socks:
-                sock.close()
-        await self.stop()
+        await self.hold_idle(self.port_of("peer_listen"))
