--- a/soak/rudeclients.py
+++ b/soak/abusiveclients.py
@@ -28,8 +28,8 @@
             (frontend, b""),
             (frontend, b"GET /safe/x HTTP/1.1\r\n\r\n" * (AHEAD_BYTES // 24)),
             (frontend, (START + "a:b\r\n" * 600).encode()),
-            (frontend, f"{START}Attempt-Id: rude\r\nToken-Usage: {number},1\r\n\r\n".encode()),
-            (frontend, f"{START}Attempt-Id: rude\r\nContent-Length: 99000\r\n\r\n".encode()),
+            (frontend, f"{START}Attempt-Id: unserved\r\nToken-Usage: {number},1\r\n\r\n".encode()),
+            (frontend, f"{START}Attempt-Id: unserved\r\nContent-Length: 99000\r\n\r\n".encode()),
             (frontend, b"\0\1\2"),
             (ready, ahead * (AHEAD_BYTES // len(ahead))),
             (directory, b"GET /resolution?name=x HTTP/1.1\r\n\r\n" * 5000),
@@ -39,7 +39,7 @@
     )
 
 
-async def run_rude_client(world, rng):
+async def run_abusive_client(world, rng):
     """Send one kind of input after another to daemons until cancelled."""
     while True:
         daemon = rng.choice(world.daemons)
--- a/soak/run.py
+++ b/soak/run.py
@@ -5,10 +5,10 @@
 from random import Random
 from typing import NamedTuple
 
+from soak.abusiveclients import run_abusive_client
 from soak.callers import Caller
 from soak.faults import Faults
 from soak.promises import check, check_budget, check_crashes, check_limits, check_rollouts
-from soak.rudeclients import run_rude_client
 from soak.servers import EngineServer
 from soak.world import EXPOSURE, RETRY_BUDGET, World
 
@@ -41,10 +41,10 @@
     monitor = asyncio.create_task(_monitor_daemons(world))
     tasks = [asyncio.create_task(caller.run()) for caller in callers]
     # Its own generator: the faults of a seed stay as they are.
-    rude = asyncio.create_task(run_rude_client(world, Random(f"rude {seed}")))
+    abuse = asyncio.create_task(run_abusive_client(world, Random(f"abuse {seed}")))
     try:
         await faults.run(seconds)
-        rude.cancel()
+        abuse.cancel()
         await asyncio.sleep(SETTLE_S)
         for caller in callers:
             caller.stopping = True
@@ -69,7 +69,7 @@
         peak_mb = max(daemon.peak_mb for daemon in world.daemons)
         return Result(seed, len(observed), answered, faults.intervals, broken, peak_mb)
     finally:
-        for task in [monitor, rude, *tasks]:
+        for task in [monitor, abuse, *tasks]:
             task.cancel()
         await world.stop()
 
--- a/src/lovageway/adapters/_listener.py
+++ b/src/lovageway/adapters/_listener.py
@@ -1,8 +1,8 @@
 """Listeners of a daemon: aiohttp's low-level server with limits, deadlines and numbered refusals.
 
 Load pattern: clients that nobody controls open connections and send nothing, send heads and bodies
-of the permitted size that do not end, or do not read their answers. An idle connection gives way to
-a new one; the heads and bodies of all requests share a budget of memory.
+of the permitted size that do not end, or do not read their answers. An idle connection is closed
+for a new one; the heads and bodies of all requests share a budget of memory.
 """
 
 import asyncio
--- a/src/lovageway/forwarding/connectionmemory.py
+++ b/src/lovageway/forwarding/connectionmemory.py
@@ -27,7 +27,7 @@
 
 
 class Connection(Protocol):
-    """A client connection that may have to give way."""
+    """A client connection that may be closed for another one."""
 
     @property
     def is_in_use(self) -> bool:
@@ -126,7 +126,7 @@
             group.pop(conn, None)
 
     def _unused(self) -> tuple[dict[Connection, None], ...]:
-        """Return the connections that are not in use, in the order in which they give way."""
+        """Return the connections that are not in use, in the order in which they are closed."""
         return self._unread, self._resting, self._receiving
 
     def _evict(self, beneficiary: Connection) -> bool:
--- a/src/lovageway/forwarding/rowserver.py
+++ b/src/lovageway/forwarding/rowserver.py
@@ -1,7 +1,7 @@
 """Sends rows of the store to daemons that request them.
 
-Load pattern: all daemons of a region request a large configuration at once; or a stranger opens
-connections to the address between daemons, requests whole tables and reads no answer.
+Load pattern: all daemons of a region request a large configuration at once; or an unknown host
+opens connections to the address between daemons, requests whole tables and reads no answer.
 """
 
 import asyncio
@@ -19,7 +19,7 @@
 FAST_COMPRESSION = 1  # level of zlib
 MAX_REQUEST_BYTES = 1024
 MAX_REQUESTS_PER_ADDRESS = 8  # a daemon requests each of a few tables at a time
-MAX_STRANGERS = 32  # open requests of addresses that are not known as daemons
+MAX_UNKNOWN_REQUESTS = 32  # open requests of addresses that are not known as daemons
 
 
 class RowsRequest(NamedTuple):
@@ -32,7 +32,7 @@
 
 
 class RowServer:
-    """Answers requests for rows; strangers get their answers one after another.
+    """Answers requests for rows; unknown hosts get their answers one after another.
 
     Parameters
     ----------
@@ -54,8 +54,8 @@
         self._removals_may_be_expired = removals_may_be_expired
         self._is_known = is_known
         self._open: Counter[str] = Counter()  # requests by address
-        self._strangers = 0  # open requests
-        self._stranger_turn = asyncio.Lock()
+        self._unknown_open = 0  # open requests
+        self._unknown_turn = asyncio.Lock()
         self.refused = 0
 
     @property
@@ -69,25 +69,25 @@
         address = str(peername[0]) if peername else ""
         known = self._is_known(address)
         if self._open[address] >= MAX_REQUESTS_PER_ADDRESS or (
-            not known and self._strangers >= MAX_STRANGERS
+            not known and self._unknown_open >= MAX_UNKNOWN_REQUESTS
         ):
             self.refused += 1
             writer.transport.abort()
             return
         self._open[address] += 1
-        self._strangers += not known
+        self._unknown_open += not known
         try:
             writer.transport.set_write_buffer_limits(high=0)  # `drain` waits for the last byte
             request = await _read_request(reader)
             if known:
                 await self._answer(request, writer)
             else:
-                async with asyncio.timeout(MAX_PULL_S), self._stranger_turn:
+                async with asyncio.timeout(MAX_PULL_S), self._unknown_turn:
                     await self._answer(request, writer)
         except (OSError, TimeoutError, EOFError, *UNREADABLE):
             pass  # the peer requests the rows again, or requests them from another daemon
         finally:
-            self._strangers -= not known
+            self._unknown_open -= not known
             self._open[address] -= 1
             if not self._open[address]:
                 del self._open[address]
--- a/tests/test_connectionmemory.py
+++ b/tests/test_connectionmemory.py
@@ -1,4 +1,4 @@
-"""Tests of the memory of client connections: who gives way when it does not suffice."""
+"""Tests of the memory of client connections: what is closed when it does not suffice."""
 
 import unittest
 
--- a/tests/test_crowd_processes.py
+++ b/tests/test_crowd_processes.py
@@ -23,7 +23,7 @@
 from tests.relayworld import config, route
 
 HOST = "127.0.4.1"
-STRANGER = "127.0.4.9"  # sends datagrams like a daemon
+UNKNOWN_HOST = "127.0.4.9"  # sends datagrams like a daemon
 SILENT = "127.0.4.2"  # where a daemon may run, so that this one sends messages to it
 MEMORY_MB = 64  # of the daemon; an idle one takes 27 MB
 CONNECTIONS = 200
@@ -307,7 +307,7 @@
 
 
 class Peers(CrowdCase):
-    """Guards against strangers at the addresses where daemons exchange their state."""
+    """Guards against unknown hosts at the addresses where daemons exchange their state."""
 
     def fill_store(self):
         for number in range(ROWS):
@@ -322,7 +322,7 @@
         await self.flood(b"x" * BYTES_AHEAD, self.ports[4])
 
     async def test_datagrams_with_huge_numbers(self):
-        facts = [STRANGER, 1, 1, 1, "z2", "r2"]
+        facts = [UNKNOWN_HOST, 1, 1, 1, "z2", "r2"]
         versions, eras = {"op": 1, "servers": 1}, [["op", 1, False]]
         loads = {"i-1": [1, 1, 1, 1]}
         heartbeats = []
@@ -346,7 +346,7 @@
                 [f"10.{number // 250}.{number % 250}.{n}", 1, number, 1, f"zone-{n}", f"r-{number}"]
                 for n in range(60)
             ]
-            facts = [STRANGER, 1, number, 1, "z2", "r2"]
+            facts = [UNKNOWN_HOST, 1, number, 1, "z2", "r2"]
             datagrams.append(msgpack.packb([1, facts, {}, {}, [], relayed, False, 1, []]))
         await self.send_datagrams(datagrams)
 
@@ -355,7 +355,7 @@
         for number in range(DATAGRAMS):
             loads = {f"server-{number}-{n}": [1, 1, 1, 1] for n in range(200)}
             regions = [[f"r-{number}", 1, loads]]
-            facts = [STRANGER, 1, number, 1, "z2", "r2"]
+            facts = [UNKNOWN_HOST, 1, number, 1, "z2", "r2"]
             datagrams.append(msgpack.packb([1, facts, {}, loads, [], [], False, 1, []]))
             datagrams.append(msgpack.packb([1, facts, {}, {}, [], [], False, 1, regions]))
         await self.send_datagrams(datagrams)
@@ -364,7 +364,7 @@
         datagrams = []
         for number in range(DATAGRAMS):
             runs = [[f"{number}-{n}-{'r' * 40}", 1, 1] for n in range(100)]
-            datagrams.append(msgpack.packb([2, STRANGER, f"server-{number % 1500}", runs]))
+            datagrams.append(msgpack.packb([2, UNKNOWN_HOST, f"server-{number % 1500}", runs]))
         await self.send_datagrams(datagrams)
 
     async def test_datagrams_that_hold_very_many_rows(self):
@@ -376,7 +376,7 @@
 
     async def send_datagrams(self, datagrams):
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        sock.bind((STRANGER, self.ports[4]))
+        sock.bind((UNKNOWN_HOST, self.ports[4]))
         try:
             for data in datagrams:
                 self.assertLess(len(data), 60000)
--- a/tests/test_crowd_serve_processes.py
+++ b/tests/test_crowd_serve_processes.py
@@ -220,7 +220,7 @@
 
 
 class Peers(CrowdCase):
-    """Guards against strangers at the listener for other daemons."""
+    """Guards against unknown hosts at the listener for other daemons."""
 
     async def test_handshakes_that_do_not_end(self):
         await self.flood((1024).to_bytes(4, "big") + b"x" * 1000, self.port_of("peer_listen"))
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -31,7 +31,7 @@
         self.load_tracker = LoadTracker()
 
     def test_the_reports_that_are_kept_are_limited(self):
-        # Guards against a stranger whose messages name ever more servers, daemons and regions.
+        # Guards against an unknown host whose messages name ever more servers, daemons and regions.
         for number in range(MAX_SUMS + 10):
             loads = {f"i-{number}": Load(1, 10)}
             self.load_tracker.on_other_region(f"r-{number}", loads, 0.0)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -38,7 +38,7 @@
         self.assertEqual(self.members.count(DEAD_AFTER_S + 0.1), 1)
 
     def test_a_limited_number_of_daemons_is_known(self):
-        # Guards against a stranger whose messages name ever more daemons.
+        # Guards against an unknown host whose messages name ever more daemons.
         for number in range(MAX_DAEMONS + 100):
             self.members.on_relayed(facts(f"n-{number}", region=f"r-{number}"), 0.0)
             self.members.on_heartbeat(facts(f"m-{number}"), 0.0)
--- a/tests/test_migration.py
+++ b/tests/test_migration.py
@@ -104,7 +104,7 @@
         return [run for run in ("a", "b", "long") if self.schedule.may_start("s", run, now)]
 
     def test_what_other_daemons_report_is_limited(self):
-        # Guards against a stranger whose messages name ever more generations.
+        # Guards against an unknown host whose messages name ever more generations.
         most = MigrationSchedule.MAX_RUNS
         for number in range(2 * most):
             self.schedule.on_runs("s", [LeavingRun(f"n-{number}", 1, 1)], 0.02, "daemon")
--- a/tests/test_rowserver.py
+++ b/tests/test_rowserver.py
@@ -10,7 +10,7 @@
 from lovageway.forwarding import rowserver
 from lovageway.forwarding.mirror import Mirror
 from lovageway.forwarding.model import Row
-from lovageway.forwarding.rowserver import MAX_REQUESTS_PER_ADDRESS, MAX_STRANGERS, RowServer
+from lovageway.forwarding.rowserver import MAX_REQUESTS_PER_ADDRESS, MAX_UNKNOWN_REQUESTS, RowServer
 
 HOST, KNOWN = "127.0.5.1", "127.0.5.2"
 WAIT_S = 10.0
@@ -63,8 +63,8 @@
     def unsent(self):
         return [w for w in self.writers if w.transport.get_write_buffer_size()]
 
-    async def test_strangers_that_read_nothing_hold_one_answer_together(self):
-        # Guards against a daemon that keeps a table for each connection of a stranger.
+    async def test_unknown_hosts_that_read_nothing_hold_one_answer_together(self):
+        # Guards against a daemon that keeps a table for each connection of an unknown host.
         await self.start(LARGE_ROW_BYTES)
         for _ in range(5):
             await self.request(len(REQUEST).to_bytes(4, "big") + REQUEST)
@@ -91,12 +91,12 @@
         self.assertEqual(self.rows.refused, 1)
         self.assertTrue(await self.is_answered(HOST))
 
-    async def test_strangers_have_a_limited_number_of_open_requests(self):
+    async def test_unknown_hosts_have_a_limited_number_of_open_requests(self):
         # Guards against many addresses that use all descriptors together.
         await self.start(100)
-        for number in range(MAX_STRANGERS):
+        for number in range(MAX_UNKNOWN_REQUESTS):
             await self.request(b"\0", f"127.0.5.{10 + number}")
-        await self.until(lambda: len(self.writers) == MAX_STRANGERS)
+        await self.until(lambda: len(self.writers) == MAX_UNKNOWN_REQUESTS)
         self.assertFalse(await self.is_answered(HOST))
         self.assertTrue(await self.is_answered(KNOWN))
 
