Count the longest output of a stream at a stop, not the client's estimate

Cause: longest_s counted the output limit only where a stream may not be resumed, else the client's Length-Hint, which is too short for half of the streams. A stream without a stated output counted as 0.3 s.

Change: a stream counts with its output limit less what has arrived, on every route; one without a stated output with all of its time. The log event may_outlast_stop gives both times that decide.

Why it works: the limit bounds the output, the estimate does not. A refused client has lost one address, a client that is cut off its answer.

The new test of Stops failed before (200, 200, 200 in place of 503, 503, 200).

--- a/src/lovageway/forwarding/lifecycle.py
+++ b/src/lovageway/forwarding/lifecycle.py
@@ -47,9 +47,13 @@
 
     def can_finish(self, expected_s: float, now: float) -> bool:
         """Return whether a request of an expected duration can end before the process does."""
+        return expected_s < self.serving_left_s(now)
+
+    def serving_left_s(self, now: float) -> float:
+        """Return how long requests may still run here, in seconds; infinite without a stop."""
         if self._leaving_at is None:
-            return True
-        return now + expected_s < self._leaving_at + GRACE_SHARE * self.bounds.grace_s
+            return inf
+        return self._leaving_at + GRACE_SHARE * self.bounds.grace_s - now
 
     @property
     def answer_by(self) -> float:
--- a/src/lovageway/forwarding/request.py
+++ b/src/lovageway/forwarding/request.py
@@ -178,29 +178,46 @@
 
 
 def longest_s(request: Request) -> float:
-    """Return how long a request may take in seconds, to decide whether it can still be served.
+    """Return how long a request may still take in seconds, to decide whether it can be served.
 
-    Its client could not repeat a call or a generation that the end of the process cuts off, unless
-    the route allows it; so these count with all the time, or all the output, that they may use.
+    The end of the process cuts off an answer that has begun. So a stream counts with all the output
+    that it may still have, since a client's estimate is too short for half of its requests, and a
+    call that may not be repeated counts with all of its time. A call that may be repeated gets a
+    final answer before the end.
     """
-    generation = request.head.generation
-    if request.route.repeat is Repeat.ONCE:
-        deadline_s = request.head.deadline_s
-        timeout_s = request.route.timeout_s
-        return timeout_s if deadline_s is None else min(timeout_s, deadline_s)
+    generation, repeat = request.head.generation, request.route.repeat
+    if repeat is Repeat.ONCE or (repeat is Repeat.STREAM and generation is None):
+        return max(0.0, request.left_s())
     if generation is None:
         return EXPECTED_CALL_S
-    is_final = request.route.repeat is Repeat.STREAM and not request.route.resumable
-    tokens = generation.output_limit if is_final else placement.expected_output(generation)
-    default_s = placement.TOKEN_S
+    tokens_per_event, default_s = 1, placement.TOKEN_S
     if request.service.engine is not None:
         # A sound engine may take as long as the route's target allows between two events.
-        per_event = max(1, request.service.engine.tokens_per_event)
-        default_s = max(default_s, request.route.gap_s / per_event)
+        tokens_per_event = max(1, request.service.engine.tokens_per_event)
+        default_s = max(default_s, request.route.gap_s / tokens_per_event)
+    tokens = placement.expected_output(generation)
+    if repeat is Repeat.STREAM:
+        events = request.event_timing.events if request.event_timing is not None else 0
+        tokens = max(0, generation.output_limit - events * tokens_per_event)
     state, name = request.state, request.service.name
     return EXPECTED_CALL_S + state.token_pace.longest_s(name, tokens, default_s, state.clock())
 
 
+def refuse_if_leaving(request: Request) -> Refusal | None:
+    """Return why a request is not sent to a server if it may outlast the process, or None."""
+    state, now, needed_s = request.state, request.state.clock(), longest_s(request)
+    if state.lifecycle.can_finish(needed_s, now):
+        return None
+    state.log(
+        "may_outlast_stop",
+        id=request.head.attempt_id,
+        needed_ms=round(needed_s * 1000),
+        left_ms=round(state.lifecycle.serving_left_s(now) * 1000),
+        sends=request.sends,
+    )
+    return Refusal(Code.LEAVING, retry_after_s=0.0)
+
+
 def admit(state: State, inbound: Inbound, head: RequestHead) -> Result[Request, Refusal]:
     """Return a request with its route, account and service, or why it is not served."""
     table = state.routes
@@ -220,9 +237,7 @@
     request = Request(state, inbound, head, route, account, service)
     now = state.clock()
     state.budget(service.name).on_request(now)
-    if not state.lifecycle.can_finish(longest_s(request), now):
-        return Error(Refusal(Code.LEAVING, retry_after_s=0.0))
-    blocked = hold_back(request)
+    blocked = refuse_if_leaving(request) or hold_back(request)
     return Error(blocked) if blocked is not None else Ok(request)
 
 
@@ -342,9 +357,10 @@
     blocked = hold_back(request)
     if blocked is not None:
         return Error(blocked)
-    if request.sends == 0 and not state.lifecycle.can_finish(longest_s(request), state.clock()):
-        # The stop began, or the time passed, while the request waited.
-        return Error(Refusal(Code.LEAVING, retry_after_s=0.0))
+    # The stop began, or the time passed, while the request waited.
+    blocked = refuse_if_leaving(request) if request.sends == 0 else None
+    if blocked is not None:
+        return Error(blocked)
     if entry is None:
         after_s = _retry_after_s(request, rank, RETRY_AFTER_S)
         return Error(Refusal(Code.WAITED_TOO_LONG, retry_after_s=after_s))
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -409,6 +409,25 @@
         ]
         self.assertEqual((statuses, engine.executions), ([503, 200], ["id-100"]))
 
+    async def test_a_short_length_hint_does_not_get_a_stream_accepted_during_a_stop(self):
+        # Guards against streams that are cut by the end of the process, since the output of a
+        # route whose streams may be resumed counted as long as the client's estimate. review/8.
+        engine = Engine(events=2)
+        stream = route(
+            route_kind="streaming", service="llm", timeout_ms=39000, sticky_sessions=True
+        )
+        await self.serve(engine, routes=[{**stream, "stream_resume": True}])
+        self.relays[0].stop()
+        statuses = [
+            (await self.ask(attempt=f"id-{name}", **fields)).status
+            for name, fields in {
+                "long": {"Token_Usage": "30,2000", "Length_Hint": "20"},
+                "unknown": {},  # nothing is said of the output
+                "short": {"Token_Usage": "30,100", "Length_Hint": "20"},
+            }.items()
+        ]
+        self.assertEqual((statuses, engine.executions), ([503, 503, 200], ["id-short"]))
+
     async def test_a_generation_is_refused_during_a_stop_if_it_is_too_slow_to_end(self):
         # Guards against streams that are cut by the end of the process, since their engine is
         # slower than a fixed time for a token: 250 tokens at 20 ms take 5 s.
