Check before every send whether a request may outlast a stop

What callers saw: streams that a full engine had refused were sent again seconds into the stop of their daemon and cut off by its end; so were streams that waited in an engine's own queue. Requests that waited in the daemon's queue learned up to 7.2 s after the start of the stop that they have to go elsewhere.

Cause: place asked can_finish only before the first send, after a wait, and not of those that still wait. The time until the first event counted as 0.3 s.

Change: place asks before every send; the queue withdraws requests that no longer fit at each tick of a stop; the first event counts with the route's target time. A broken stream that may be resumed is not started again if the rest may not fit: its client resumes it elsewhere. A send counted for a server that is then not used is withdrawn.

--- a/src/lovageway/forwarding/relay.py
+++ b/src/lovageway/forwarding/relay.py
@@ -229,6 +229,7 @@
     def _check_stopped(self, now: float) -> None:
         if not self.state.lifecycle.leaving:
             return
+        self.state.admission_queue.withdraw()
         if now >= self.state.lifecycle.answer_by:
             self._frontend.give_up_requests()
         if self.state.lifecycle.accepts_connections(now):
--- a/src/lovageway/forwarding/request.py
+++ b/src/lovageway/forwarding/request.py
@@ -195,17 +195,22 @@
         # A sound engine may take as long as the route's target allows between two events.
         tokens_per_event = max(1, request.service.engine.tokens_per_event)
         default_s = max(default_s, request.route.gap_s / tokens_per_event)
-    tokens = placement.expected_output(generation)
+    first_s, tokens = EXPECTED_CALL_S, placement.expected_output(generation)
     if repeat is Repeat.STREAM:
         events = request.event_timing.events if request.event_timing is not None else 0
         tokens = max(0, generation.output_limit - events * tokens_per_event)
+        # It may also wait in the queue of a sound engine until its first event.
+        first_s = 0.0 if events else max(first_s, request.route.target_s)
     state, name = request.state, request.service.name
-    return EXPECTED_CALL_S + state.token_pace.longest_s(name, tokens, default_s, state.clock())
+    return first_s + state.token_pace.longest_s(name, tokens, default_s, state.clock())
 
 
 def refuse_if_leaving(request: Request) -> Refusal | None:
     """Return why a request is not sent to a server if it may outlast the process, or None."""
-    state, now, needed_s = request.state, request.state.clock(), longest_s(request)
+    state, now = request.state, request.state.clock()
+    if not state.lifecycle.leaving:
+        return None
+    needed_s = longest_s(request)
     if state.lifecycle.can_finish(needed_s, now):
         return None
     state.log(
@@ -315,13 +320,21 @@
     return expected_s is not None and expected_s > HOPELESS_FACTOR * limit_s
 
 
+def _must_not_wait(request: Request) -> bool:
+    """Return whether a waiting request would not be sent to a server that becomes free."""
+    state, now = request.state, request.state.clock()
+    if not request.is_trial and state.poison.blocking(request.traits, now) is not None:
+        return True
+    return state.lifecycle.leaving and not state.lifecycle.can_finish(longest_s(request), now)
+
+
 async def place(request: Request, choose: Callable[[], Entry | None]) -> Result[Entry, Refusal]:
     """Return the server for the next attempt.
 
     If every server is full, wait in the admission queue for a part of the remaining time.
     """
     state = request.state
-    blocked = hold_back(request)
+    blocked = hold_back(request) or refuse_if_leaving(request)
     if blocked is not None:
         return Error(blocked)
     entry = choose()
@@ -350,16 +363,14 @@
         Need(kind, request.tokens),
         choose,
         limit,
-        is_withdrawn=lambda: not request.is_trial
-        and state.poison.blocking(request.traits, state.clock()) is not None,
+        is_withdrawn=partial(_must_not_wait, request),
     )
     request.waited_s += state.clock() - began
-    blocked = hold_back(request)
-    if blocked is not None:
-        return Error(blocked)
-    # The stop began, or the time passed, while the request waited.
-    blocked = refuse_if_leaving(request) if request.sends == 0 else None
+    # A suspect was found, a stop began, or its time passed, while the request waited.
+    blocked = hold_back(request) or refuse_if_leaving(request)
     if blocked is not None:
+        if entry is not None:
+            entry.sends.withdraw()
         return Error(blocked)
     if entry is None:
         after_s = _retry_after_s(request, rank, RETRY_AFTER_S)
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -84,6 +84,7 @@
         self.limit = None  # named in every response: requests a second from all daemons together
         self.says_leaving = False  # in every response
         self.back_off_s = None  # named in refusals of behaviour "shed", in seconds
+        self.on_refusal = lambda: None  # called before each refusal of behaviour "shed"
         self.load = "1,0,8"
         self.probes = 0  # requests for its report
         self.executions = []
@@ -131,6 +132,7 @@
             writer.write(answer(421, b"", [("Replica-Id", self.name), ("Attempt-Id", attempt)]))
             return True
         if self.behaviour == "shed":
+            self.on_refusal()
             refused = [("Not-Executed", "1"), ("Attempt-Id", attempt), *self.statements()]
             if self.back_off_s is not None:
                 refused.append(("Retry-After", str(self.back_off_s)))
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -7,7 +7,7 @@
 
 from lovageway.forwarding.forwarder import MIN_ANSWER_TIMEOUT_S
 from lovageway.forwarding.mirror import FIRST
-from tests.relayworld import KEY, RelayCase, route
+from tests.relayworld import KEY, RelayCase, engine_service, route
 
 ONCE = [route(route_kind="non_idempotent", max_attempts=1)]
 
@@ -348,6 +348,11 @@
             self.assertEqual(reply.headers["attempt-id"], f"id-{number}")
 
 
+BRIEF_STREAM = route(
+    route_kind="streaming", service="llm", timeout_ms=39000, sticky_sessions=True, max_attempts=2
+)
+
+
 class Stops(RelayCase):
     async def test_a_drain_interrupts_no_request_and_answers_new_ones(self):
         # Guards against calls that are lost during the drain of a daemon.
@@ -428,6 +433,42 @@
         ]
         self.assertEqual((statuses, engine.executions), ([503, 503, 200], ["id-short"]))
 
+    async def test_a_stream_that_an_engine_refused_is_not_sent_again_late_in_a_stop(self):
+        # Guards against streams that full engines refused: they were sent again, late in the grace
+        # period, and cut by the end of the process. review/10.
+        engines = [Engine("i-1"), Engine("i-2")]
+        await self.serve(*engines, routes=[BRIEF_STREAM])
+        relay = self.relays[0]
+        for engine in engines:
+            engine.behaviour = "shed"
+            engine.on_refusal = lambda: setattr(
+                relay.state.lifecycle, "_leaving_at", relay._loop.time() - 6.0
+            )
+        relay.stop()
+        reply = await self.ask(Token_Usage="30,100")
+        self.assertEqual((reply.status, reply.headers["retry-after"]), (503, "0.000"))
+        self.assertEqual(sum(len(engine.requests) for engine in engines), 1)
+
+    async def test_a_waiting_stream_that_a_stop_would_cut_is_refused_at_once(self):
+        # Guards against clients that learn seconds after the start of a stop that they have to
+        # use another address.
+        engine = Engine()
+        engine.behaviour = "hold"
+        await self.serve(engine, routes=[BRIEF_STREAM], services=[engine_service(slots=1)])
+        running = await self.client()
+        await running.send(attempt="id-r", Token_Usage="30,2000")
+        await self.until(lambda: engine.executions)
+        waiting = await self.client()
+        await waiting.send(attempt="id-w", Token_Usage="30,2000")
+        relay = self.relays[0]
+        await self.until(lambda: len(relay.state.admission_queue))
+        began = relay._loop.time()
+        relay.stop()
+        self.assertEqual((await waiting.reply()).status, 503)
+        self.assertLess(relay._loop.time() - began, 1.0)
+        engine.released.set()
+        self.assertTrue((await running.reply()).complete)
+
     async def test_a_generation_is_refused_during_a_stop_if_it_is_too_slow_to_end(self):
         # Guards against streams that are cut by the end of the process, since their engine is
         # slower than a fixed time for a token: 250 tokens at 20 ms take 5 s.
