Take a server's 408, 421, 429 or 503 for a failure unless it states that nothing ran

What callers saw: a grey server ran a payout and answered 429, signed, without Not-Executed.

Cause: _classify_answer took every whole answer under 500 for the service's own. can_pass_on knows the statuses that promise something, but was asked for failures only. 421 counted as "not run" whoever sent it, so a call that a server ran and answered with a signed 421 was sent again.

Change: one set, NOT_RUN_STATUSES, for both. A whole answer with such a status and without the statement is a failure with an unknown effect. A 421 counts as a statement only if it is unsigned, as another server at the address sends it.

Why it works: a server's promise now needs the server's own header, whatever the status; what the daemon says in its place (502, ran unknown, no Retry-After) promises nothing.

--- a/src/lovageway/forwarding/attempt.py
+++ b/src/lovageway/forwarding/attempt.py
@@ -13,6 +13,9 @@
 from lovageway.forwarding.rollout.observation import Observation
 from lovageway.platform import heads
 
+# Statuses that promise a client that its request has not run and never will. A server makes this
+# promise only with its own header for it.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 TIMEOUT_FAILURE_WEIGHT = 0.7  # of a missing answer, relative to an explicit failure
 
 
@@ -259,7 +262,11 @@
         return AttemptResult(Outcome.BROKEN, head, b"")
     request.state.poison.on_answer(request.traits, now)
     request.state.poison.on_server_answer(entry.token, began, now)
-    if head.status >= 500 or (head.status < 300 and not is_authentic(head)):
+    if (
+        head.status >= 500
+        or head.status in NOT_RUN_STATUSES
+        or (head.status < 300 and not is_authentic(head))
+    ):
         entry.on_failure(now)
         return AttemptResult(Outcome.FAILED, head, body)
     entry.on_answer(now - began, now)
@@ -278,11 +285,7 @@
 
 
 def can_pass_on(head: AnswerHead | None) -> bool:
-    """Return whether a server's failure may be passed on unchanged.
-
-    The excluded statuses imply that the request was not executed, which a server may only state
-    with its own header for it.
-    """
+    """Return whether a server's failure may be passed on unchanged."""
     if head is None or not head.signed or head.encoded:
         return False
-    return head.status >= 300 and head.status not in (408, 421, 429, 503)
+    return head.status >= 300 and head.status not in NOT_RUN_STATUSES
--- a/src/lovageway/platform/heads.py
+++ b/src/lovageway/platform/heads.py
@@ -213,14 +213,17 @@
     """Decode the head of a backend server's answer; malformed optional headers count as absent."""
     values = {key.lower(): value.strip() for key, value in headers}
     load, load_unreadable = _load(values.get(names.SERVER_LOAD))
+    signed = names.SIGNATURE in values
+    # Another server at the address sends 421 unsigned; a signed 421 may come from a run.
+    is_another_server = status == 421 and not signed
     keep_alive = dict(part.strip().partition("=")[::2] for part in _keep_alive(values))
     return AnswerHead(
         status=status,
         reason=reason,
         attempt_id=values.get(names.ATTEMPT_ID),
-        signed=names.SIGNATURE in values,
+        signed=signed,
         encoded=values.get("content-encoding", "identity").lower() != "identity",
-        not_run=names.NOT_RUN in values or status == 421,
+        not_run=names.NOT_RUN in values or is_another_server,
         server_id=values.get(names.SERVER_ID),
         load=load,
         load_unreadable=load_unreadable,
--- a/tests/test_statuses.py
+++ b/tests/test_statuses.py
@@ -1,4 +1,6 @@
-"""Answers whose status is none of the protocol: none is passed on, and none is waited for."""
+"""Statuses of servers that must not reach a client, and those that must."""
+
+import json
 
 from standins.replica import Engine, Replica
 
@@ -7,7 +9,9 @@
 
 NO_STATUSES = ("000", "001", "099", "600", "700", "999", "42", "2000", "0200", "+200", "-20", "2x0")
 FINAL = ["299", "599"]
+PROMISES = (408, 421, 429, 503)  # to a client: not run, and never will be
 HEADERS = "Attempt-Id: {}\r\nReplica-Signature: 3e1b.07\r\nContent-Length: 2\r\n"
+RETRY_AFTER = "Retry-After: 0.01\r\n"
 
 
 class Stating(Replica):
@@ -15,7 +19,7 @@
 
     async def run(self, request, attempt, writer):
         status = request.path.rpartition("/")[2]
-        head = f"HTTP/1.1 {status} Odd\r\n{HEADERS.format(attempt)}\r\n"
+        head = f"HTTP/1.1 {status} Odd\r\n{HEADERS.format(attempt)}{RETRY_AFTER}\r\n"
         writer.write(head.encode() + b"no")
         return True
 
@@ -26,6 +30,52 @@
     run = Stating.run
 
 
+class FalsePromises(RelayCase):
+    """Guards against clients that repeat a payout that has run. review/6.
+
+    A server ran a request and answers, signed, with a status that promises the contrary.
+    """
+
+    async def test_a_call_that_ran_is_not_said_not_to_have_run(self):
+        server = Stating()
+        once = route(route_kind="non_idempotent", max_attempts=1)
+        await self.serve(server, routes=[once])
+        for number, status in enumerate(PROMISES, start=1):
+            with self.subTest(status=status):
+                fields = {"method": "POST", "body": b"pay", "target": f"/a/{status}"}
+                reply = await self.ask(attempt=f"id-{status}", **fields)
+                self.assertEqual(reply.status, 502)
+                self.assertNotIn("retry-after", reply.headers)
+                self.assertEqual(json.loads(reply.body)["error"]["ran"], "unknown")
+                self.assertEqual(len(server.executions), number)
+
+    async def test_a_generation_that_ran_is_not_said_not_to_have_run(self):
+        engines = [StatingEngine("i-1"), StatingEngine("i-2", "127.0.0.2")]
+        await self.serve(*engines, routes=[STREAM])
+        fields = {"method": "POST", "body": b"p", "Token_Usage": "90,50"}
+        for number, status in enumerate(PROMISES, start=1):
+            with self.subTest(status=status):
+                reply = await self.ask(target=f"/s/{status}", attempt=f"id-{status}", **fields)
+                self.assertEqual(reply.status, 502)
+                self.assertNotIn("retry-after", reply.headers)
+                self.assertEqual(sum(len(engine.executions) for engine in engines), number)
+
+    async def test_a_call_that_may_be_repeated_goes_to_another_server(self):
+        faulty, sound = Stating("i-1"), Replica("i-2", "127.0.0.2")
+        await self.serve(faulty, sound)
+        for status in PROMISES:
+            for number in range(3):
+                reply = await self.ask(target=f"/a/{status}", attempt=f"id-{status}-{number}")
+                self.assertEqual((reply.status, reply.body), (200, b"the server's bytes"))
+        self.assertTrue(faulty.executions)
+
+    async def test_a_call_that_ran_on_every_server_is_not_said_not_to_have_run(self):
+        await self.serve(Stating("i-1"), Stating("i-2", "127.0.0.2"))
+        for status in PROMISES:
+            reply = await self.ask(target=f"/a/{status}", attempt=f"id-{status}")
+            self.assertEqual(reply.status, 502)
+
+
 class Statuses(RelayCase):
     """Guards against a client that gets such an answer, or waits for another until its deadline."""
 
