Don't take 429 and 503 of a plain service for "did not run"

What callers would see: a refund that a plain service ran and answered 503 was sent to it again and answered 4604; its claim was given back.

Cause: adapters/services.py mapped 429 and 503 to the failure "refused", which claims and attempts count as not run. docs/design.md promises that for engines only.

Change: a failure of its own, "overloaded": may have run; the server's ramp restarts as before.

Why it works: a claim is given back only on failures that prove that nothing ran, and no status of a plain service proves that.

--- a/src/lovageway/adapters/services.py
+++ b/src/lovageway/adapters/services.py
@@ -30,7 +30,8 @@
         Raises
         ------
         BackendError
-            "connect" or "refused" if the call did not run; otherwise it may have run.
+            "connect" if the call did not run; otherwise it may have run. No status of a plain
+            service states that a call did not run.
         """
         headers = {"Content-Type": "application/json", "X-Request-Id": request_id}
         if key:
@@ -58,7 +59,7 @@
         if resp.headers.get("X-Request-Id") != request_id:
             raise BackendError("lost", "response to another request", start_id)
         if resp.status in (429, 503):
-            raise BackendError("refused", f"HTTP {resp.status}", start_id)
+            raise BackendError("overloaded", f"HTTP {resp.status}", start_id)
         if resp.status != 200 or len(data) > MAX_ANSWER_BYTES:
             raise BackendError("error", f"HTTP {resp.status}, {len(data)} bytes", start_id)
         return PlainAnswer(data, start_id)
--- a/src/lovageway/controllers/backends.py
+++ b/src/lovageway/controllers/backends.py
@@ -176,7 +176,7 @@
             old = self._suspended.get(server_id)
             length = min(MAX_SUSPENSION_S, 2 * old.length) if old else MIN_SUSPENSION_S
             self._suspended[server_id] = _Suspension(now + length, length)
-        if event.failure == "refused":
+        if event.failure in ("refused", "overloaded"):
             observation = ServerObservation(server_id, event.start_id or "", refused=True)
             self._send_to_owner(observation, now, emit)
 
--- a/src/lovageway/events.py
+++ b/src/lovageway/events.py
@@ -14,13 +14,14 @@
 
 # ---- events -------------------------------------------------------------------------------------
 
-Failure = Literal["refused", "connect", "lost", "gone", "stalled", "error"]
+Failure = Literal["refused", "connect", "lost", "gone", "stalled", "error", "overloaded"]
 """Why an attempt ended.
 
 refused: the server answered that it did not run the attempt; connect: no connection was made, so
 the attempt did not run; lost: the connection broke after sending; gone: the server lost the
 generation; stalled: no token arrived in time; error: the server answered with an error after the
-attempt may have run.
+attempt may have run; overloaded: the server answered that it is overloaded, but its protocol does
+not say that such an attempt did not run.
 """
 
 
--- a/standins/plain.py
+++ b/standins/plain.py
@@ -15,6 +15,7 @@
         self.lock = threading.Lock()
         self.running = 0
         self.delay_s = 0.0
+        self.status = 200  # of the answers to calls, all of which run
 
     def handle(self, method, parts, query, data, environ):
         headers = [("X-Start-Id", self.start_id)]
@@ -24,7 +25,9 @@
             case "GET", ["ledger"]:
                 return Reply(200, {"effects": self.ledger}, headers)
             case "POST", ["control"]:
-                self.delay_s = json.loads(data).get("delay_s", self.delay_s)
+                wanted = json.loads(data)
+                self.delay_s = wanted.get("delay_s", self.delay_s)
+                self.status = wanted.get("status", self.status)
                 return Reply(200, {}, headers)
             case "POST", ["call", name]:
                 return self.call(name, json.loads(data), headers, environ)
@@ -51,7 +54,7 @@
         with self.lock:
             self.running -= 1
         answer = {"method": name, "body": body, "receipt": f"{self.start_id}-{number}"}
-        return Reply(200, answer, [*headers, ("X-Request-Id", request_id)])
+        return Reply(self.status, answer, [*headers, ("X-Request-Id", request_id)])
 
 
 if __name__ == "__main__":
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -75,7 +75,7 @@
     def tearDown(self):
         self.control_platform(table="up", lose=0)
         self.proxy.set_mode("pass")
-        post(self.plain.address, "/control", {"delay_s": 0})
+        post(self.plain.address, "/control", {"delay_s": 0, "status": 200})
 
     @classmethod
     def wait_until_all_live(cls):
@@ -124,6 +124,20 @@
         del self.fleet.daemons[name], self.fleet.vms[name]
         self.fleet.publish_vms()
 
+    def test_a_call_that_ran_and_was_answered_with_429_or_503_is_not_run_again(self):
+        # Guards against a refund that takes effect twice, as the service's answer after its run
+        # counted as a refusal and the claim was given back. Related to review/6.
+        for status in (429, 503):
+            key = f"overloaded-{status}"
+            post(self.plain.address, "/control", {"status": status})
+            first = call(self.one, key)
+            post(self.plain.address, "/control", {"status": 200})
+            self.assertEqual(code(first), Code.OUTCOME_UNKNOWN_NOW)
+            self.assertEqual(first[1]["error"]["ran"], "unknown")
+            wait_for(lambda key=key: self.claim_row(key).get("state") == "unknown", "the outcome")
+            self.assertEqual(code(call(self.two, key)), Code.OUTCOME_UNKNOWN)
+            self.assertEqual(len(self.effects(key)), 1)
+
     def test_an_answer_lost_on_the_claim_neither_stops_nor_repeats_the_call(self):
         # Guards against a call that is refused or run twice because its claim was written but the
         # confirmation was lost.
--- a/tests/test_attempt.py
+++ b/tests/test_attempt.py
@@ -36,7 +36,7 @@
     def test_a_lost_call_that_is_not_idempotent_is_never_sent_again(self):
         # Guards against a second refund when the answer to the first is lost.
         ctx = context(PLAIN, "refund")
-        for failure in ("lost", "gone", "stalled", "error"):
+        for failure in ("lost", "gone", "stalled", "error", "overloaded"):
             expected = (Code.OUTCOME_UNKNOWN_NOW, "unknown")
             self.assertEqual(self.refusal(ctx, failed(failure)), expected)
 
