--- a/src/lovageway/platform/heads.py
+++ b/src/lovageway/platform/heads.py
@@ -271,10 +271,8 @@
 
 
 def _number(text: str | None) -> float | None:
-    try:
-        return None if text is None else float(text)
-    except ValueError:
-        return None
+    """Decode a decimal number; None if there is none, or if it is malformed or too large."""
+    return float(text) if text is not None and _DECIMAL.fullmatch(text.strip()) else None
 
 
 def own_headers(attempt_id: str | None, retry_after_s: float | None) -> list[tuple[str, str]]:
--- a/tests/test_crowd_processes.py
+++ b/tests/test_crowd_processes.py
@@ -247,7 +247,7 @@
 
 
 class Numbers(CrowdCase):
-    """Guards against numbers that a client chose and that end the daemon's periodic work."""
+    """Guards against a client's numbers that end the daemon's periodic work. review/9."""
 
     async def asyncSetUp(self):
         await super().asyncSetUp()
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -297,10 +297,22 @@
         self.assertTrue(found.not_run)
         self.assertEqual(found.load, (1, 2, 8, None))
         self.assertTrue(heads.answer(421, "", []).not_run)
+        self.assertFalse(heads.answer(421, "", [("Replica-Signature", "3e1b.07")]).not_run)
         self.assertFalse(heads.answer(503, "", [("Replica-Load", "x")]).not_run)
         keep = heads.answer(200, "", [("Keep-Alive", "timeout=5, max=9")])
         self.assertEqual(keep.keep_alive_s, 5.0)
 
+    def test_seconds_that_a_server_names_are_bounded(self):
+        # Guards against a number of a server that is used without its bound. Related to review/9.
+        for text, expected in {"0.5": 0.5, " 5 ": 5.0}.items():
+            self.assertEqual(heads.answer(503, "", [("Retry-After", text)]).retry_after_s, expected)
+        for text in ("inf", "nan", "-1", "1e400", "9" * 10, "1_0", ""):
+            with self.subTest(text=text):
+                found = heads.answer(503, "", [("Retry-After", text)])
+                self.assertIsNone(found.retry_after_s)
+                found = heads.answer(200, "", [("Keep-Alive", f"timeout={text}")])
+                self.assertIsNone(found.keep_alive_s)
+
     def test_a_servers_load_has_three_figures_and_may_have_a_fourth(self):
         # Guards against servers whose load counts as unknown for one odd figure, and against odd
         # figures that are used.
