Count a server's end against streams that have just begun, and only a longer run for them

Cause: the first event counted as proof of health and removed the crashes recorded so far; a crash was recorded only if no event had come. A generation that had begun was not held back either when it went on from its checkpoint.

An unproven request is not sent again nor continued after two crashes with one of its traits; for a part, servers that crash at one moment count as one.

Changed test: BudgetOfSends.test_continuations_from_checkpoints_stay_within_the_retry_budget has engines that break off each attempt after one event, which now ends such a request after two. Its subject is the budget, so one event is proof there; its assertions are as before.

--- a/src/lovageway/forwarding/forwarder.py
+++ b/src/lovageway/forwarding/forwarder.py
@@ -10,7 +10,7 @@
 from lovageway.forwarding.connections import ClientConnection, Inbound
 from lovageway.forwarding.model import Repeat
 from lovageway.forwarding.replicas import Entry
-from lovageway.forwarding.request import Refusal, Request, admit, place
+from lovageway.forwarding.request import Refusal, Request, admit, place, risks_server
 from lovageway.forwarding.resend import Kind
 from lovageway.forwarding.state import State
 from lovageway.forwarding.streams import StreamRun
@@ -152,7 +152,7 @@
         """Return whether a request may run again, charging the retry budget if it was sent."""
         if outcome is Outcome.NOT_SENT:
             return request.may_resend(Kind.UNSENT)
-        if outcome is Outcome.BROKEN and self.state.poison.is_implicated(request.traits):
+        if outcome is Outcome.BROKEN and risks_server(request):
             return False
         if outcome is not Outcome.NOT_RUN and (
             not request.idempotent or request.possible_runs >= request.route.max_attempts
--- a/src/lovageway/forwarding/poison.py
+++ b/src/lovageway/forwarding/poison.py
@@ -8,11 +8,12 @@
 server disconnects during some of its answers; or all servers of a service end at one moment.
 
 A request has traits: its fingerprint, and each part of its prompt that other requests may share.
-When a server ends before it answered, the crash is recorded under all traits of the request. An
-answer with a trait removes the trait's crashes. A server that answers a later request did not
-crash. A trait with enough crashes is a suspect, and a request is held back if it has a suspect
-and all other suspects that the same crashes support equally: which of them is the cause becomes
-known when a request with only some of them is answered or crashes a server.
+When a server ends before it answered, or soon after it began to (`streamproof`), the crash is
+recorded under all traits of the request. An answer with a trait removes the trait's crashes. A
+server that answers a later request did not crash. A trait with enough crashes is a suspect, and a
+request is held back if it has a suspect and all other suspects that the same crashes support
+equally: which of them is the cause becomes known when a request with only some of them is answered
+or crashes a server.
 
 Daemons send each other their records. Merging them in any order, any number of times, has the
 same result.
@@ -107,7 +108,7 @@
             self._is_stale = True
 
     def on_answer(self, traits: Iterable[Trait], now: float) -> None:
-        """Record that a server began to answer a request with these traits."""
+        """Record that a server answered a request with these traits, or a large part of it."""
         for mark, _, is_part in traits:
             record = self._records.get(mark)
             if record is not None:
@@ -149,12 +150,17 @@
         return None
 
     def is_implicated(self, traits: Iterable[Trait]) -> bool:
-        """Return whether several servers crashed with a trait since it was last answered.
+        """Return whether a trait was in several crashes since it was last answered.
 
-        One more server would be at risk if such a request were sent again.
+        Servers that crash at one moment count as one crash for a part, which many requests share.
         """
-        records = (self._records.get(trait.mark) for trait in traits)
-        return any(record is not None and len(record.crashes) > 1 for record in records)
+        for trait in traits:
+            record = self._records.get(trait.mark)
+            if record is not None:
+                crashes = record.incidents() if trait.is_part else record.crashes
+                if len(crashes) > 1:
+                    return True
+        return False
 
     def take_trial(self, suspect: Trait, traits: Iterable[Trait], now: float) -> bool:
         """Return whether one request may be sent although it has a suspect, and count it if so.
--- a/src/lovageway/forwarding/request.py
+++ b/src/lovageway/forwarding/request.py
@@ -77,6 +77,7 @@
         self.tried: set[str] = set()
         self.possible_runs = 0  # attempts after which the request may have been executed
         self.sends = 0
+        self.is_proven = False  # whether an answer showed that the request crashes no server
         self.is_trial = False  # whether it may be sent once although it has a suspect
         self.waited_s = 0.0
         self.servers: list[str] = []
@@ -273,6 +274,11 @@
     return Refusal(code, f"mark {suspect.mark.hex()}")
 
 
+def risks_server(request: Request) -> bool:
+    """Return whether another server would be at risk if an interrupted request were sent again."""
+    return not request.is_proven and request.state.poison.is_implicated(request.traits)
+
+
 def hold_off(request: Request, rank: Rank, limit_s: float) -> Refusal | None:
     """Return why a request must not wait, or None if it may wait or something else is the cause.
 
--- a/src/lovageway/forwarding/streams.py
+++ b/src/lovageway/forwarding/streams.py
@@ -28,9 +28,10 @@
 from lovageway.forwarding.model import AnswerHead
 from lovageway.forwarding.placement import expected_output
 from lovageway.forwarding.replicas import Entry
-from lovageway.forwarding.request import Refusal, Request, hold_back, place
+from lovageway.forwarding.request import Refusal, Request, hold_back, place, risks_server
 from lovageway.forwarding.resend import Kind
 from lovageway.forwarding.rollout.observation import Observation
+from lovageway.forwarding.streamproof import StreamProof
 from lovageway.forwarding.streamtiming import StreamTiming
 from lovageway.forwarding.tokenpace import MIN_EVENTS
 from lovageway.forwarding.traits import MAX_LABEL
@@ -78,6 +79,7 @@
         self.sent_at = 0.0
         self.observation: Observation | None = None  # of the current attempt
         self.begun = False  # whether an event arrived in the current attempt
+        self._proof = StreamProof()
         self._pending_prompt = 0  # prompt tokens that the engine has yet to process
         self.migrator: Migrator | None = None
         self.task: asyncio.Task[CopiedGeneration | None] | None = None  # of the migration
@@ -105,7 +107,7 @@
         handover: CopiedGeneration | None = None
         while True:
             if handover is not None:
-                blocked = None if self.started else hold_back(request)
+                blocked = None if request.is_proven else hold_back(request)
                 if blocked is not None:
                     if handover.counted:
                         state.spawn(Migrator(request, self).free(handover))
@@ -179,6 +181,7 @@
         self.entry = entry
         self.sent_at = self.state.clock()
         self.begun = False
+        self._proof = StreamProof()
         self.observation = Observation(
             state.rollouts, state.telemetry, entry, request.route, self.sent_at
         )
@@ -265,6 +268,8 @@
         engine = self.request.service.engine
         if entry is None or engine is None or not self.started:
             return None
+        if risks_server(self.request):
+            return None
         if outcome not in (Outcome.BROKEN, Outcome.SILENT):
             return None
         if not self.state.replicas.accepts_work(entry) or not self.state.is_within_limit(entry):
@@ -403,6 +408,8 @@
         now = self.state.clock()
         if not self.begun:
             self._on_begun(now)
+        if self._proof.on_event(now):
+            self._on_proven(now)
         if event_id is not None and self.last_id is not None and event_id <= self.last_id:
             return
         if not self.started:
@@ -424,14 +431,18 @@
         self.conn.send(data)
 
     def _on_begun(self, now: float) -> None:
-        """Record that an engine answers the request without crashing."""
+        """Record that an engine answers the request."""
         self.begun = True
         if self.observation is not None:
             self.observation.on_answer(now)
-        self.state.poison.on_answer(self.request.traits, now)
         if self.entry is not None:
             self.state.poison.on_server_answer(self.entry.token, self.sent_at, now)
 
+    def _on_proven(self, now: float) -> None:
+        """Record that the request does not crash the engines that answer it."""
+        self.request.is_proven = True
+        self.state.poison.on_answer(self.request.traits, now)
+
     def _classify(
         self,
         entry: Entry,
@@ -456,7 +467,7 @@
                 self._on_failure(entry)
             if crashed:
                 self._log_broken(entry)
-            if self.task is None and crashed and not (self.started or entry.leaving):
+            if self.task is None and crashed and not (self.request.is_proven or entry.leaving):
                 record_crash(self.request, entry)
             return AttemptResult(Outcome.BROKEN, head, b"")
         if head.status != 200 or not is_authentic(head):
@@ -465,6 +476,8 @@
         if self.observation is not None:
             self.observation.on_pace(self.event_timing.mean_gap_s, now)
         self.state.poison.on_server_answer(entry.token, self.sent_at, now)
+        if self.begun:
+            self._on_proven(now)
         entry.on_answer(now - self.request.started_at, now)
         if not self.started:
             self.client.answer(AttemptResult(Outcome.ANSWERED, head, splitter.rest))
@@ -485,12 +498,15 @@
         """Write a line on an answer that the engine ended early, with the parts of the prompt."""
         request, state = self.request, self.state
         state.telemetry.add("broken_attempts", "yes" if self.begun else "no")
+        age_s = self._proof.age_s(state.clock())
         state.log(
             "attempt_broken",
             id=request.head.attempt_id,
             server=entry.id,
             leaving=entry.leaving,
             begun=self.begun,
+            since_first_ms=None if age_s is None else round(age_s * 1000),
+            proven=request.is_proven,
             ms=round((state.clock() - self.sent_at) * 1000),
             parts=[part[:MAX_LABEL] for part in request.part_ids()[:MAX_LOGGED_PARTS]],
         )
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -215,8 +215,9 @@
     copied to this engine, by handle. A migration request (`/kv-move`) copies a KV cache to another
     engine of `fleet`, in `migration_s`; `migration_status` other than 200 rejects these requests.
 
-    A request with one of `crashing_parts` in its prompt ends the engine after the head of the
-    response: the listener closes and every connection is reset. `restart` starts it again.
+    A request with one of `crashing_parts` in its prompt ends the engine after `crash_after_events`
+    events of the response: the listener closes and every connection is reset. `restart` starts it
+    again.
     """
 
     service = "llm"
@@ -240,6 +241,7 @@
         self.replayed_events = 0  # events that a resumed stream sends again before new ones
         self.generated_events = {}
         self.crashing_parts = set()
+        self.crash_after_events = 0
         self.crashes = []  # attempts that ended the engine
         self.started_at_ms = 1700000000000
 
@@ -307,13 +309,7 @@
         if source is not None:
             self.continuations.append(attempt)
         parts = request.headers.get("prompt-prefix", "").split(",")
-        if self.crashing_parts & {part.partition(":")[0] for part in parts}:
-            headers = [("Attempt-Id", attempt), SIGNATURE, ("Transfer-Encoding", "chunked")]
-            writer.write(answer(200, b"", headers, length=False))
-            await writer.drain()
-            self.crashes.append(attempt)
-            self.crash()
-            return False
+        crashes = bool(self.crashing_parts & {part.partition(":")[0] for part in parts})
         if self.behaviour == "endless_event":
             begin = CHUNKED + b"c\r\nid: 1\ndata: \r\n"
             await self.send_endlessly(begin, b"400\r\n" + KIB + b"\r\n", attempt, writer)
@@ -327,9 +323,11 @@
         headers = [("Attempt-Id", attempt), SIGNATURE, ("Content-Type", "text/event-stream")]
         headers += self.statements()
         if self.behaviour in UNFRAMED:
-            return await self._stream_unframed(headers, first, attempt, writer)
+            return await self._stream_unframed(headers, first, attempt, writer, crashes)
         writer.write(answer(200, b"", [*headers, ("Transfer-Encoding", "chunked")], length=False))
         for number in range(first + 1, self.events + 1):
+            if crashes and number - first > self.crash_after_events:
+                return await self._crash_in(attempt, writer)
             if self.behaviour == "hold" and number > 1:
                 await self.released.wait()
             if attempt in self.stopped:
@@ -350,12 +348,21 @@
         await writer.drain()
         return True
 
-    async def _stream_unframed(self, headers, first, attempt, writer):
+    async def _crash_in(self, attempt, writer):
+        """End the engine in a response, of which all that was written is sent."""
+        await writer.drain()
+        self.crashes.append(attempt)
+        self.crash()
+        return False
+
+    async def _stream_unframed(self, headers, first, attempt, writer, crashes):
         """Send a stream that ends with its connection; with "unframed_cut", within an event."""
         writer.write(answer(200, b"", headers, length=False))
         for number in range(first + 1, self.events + 1):
             if attempt in self.stopped:
                 break
+            if crashes and number - first > self.crash_after_events:
+                return await self._crash_in(attempt, writer)
             event = self.event(attempt, number)
             if self.behaviour == "unframed_cut" and number == first + 3:
                 writer.write(event[:-4])
--- a/tests/test_poison_parts.py
+++ b/tests/test_poison_parts.py
@@ -24,17 +24,20 @@
 class PromptParts(RelayCase):
     daemons = 3
 
-    async def start_fleet(self, **fields):
-        self.engines = [Engine(f"i-{n}", f"127.0.0.{n + 1}", f"z{n + 1}") for n in range(ENGINES)]
+    async def start_fleet(self, crash_after_events=0, zones=("z1", "z2", "z3"), **fields):
+        hosts = (f"127.0.0.{number + 1}" for number in range(ENGINES))
+        names = (f"i-{number}" for number in range(ENGINES))
+        self.engines = [Engine(*place) for place in zip(names, hosts, zones, strict=False)]
         for engine in self.engines:
             engine.crashing_parts = {CRASHING}
+            engine.crash_after_events = crash_after_events
         self.sent = 0
         await self.serve(*self.engines, routes=[{**STREAM, **fields}])
         for relay in self.relays:
             state = relay.state
             await self.until(lambda state=state: state.members.count(state.clock()) == self.daemons)
 
-    async def ask_with(self, *parts):
+    async def ask_with(self, *parts, output=20):
         """Send a request that differs from all others in its body and its last part."""
         self.sent += 1
         attempt = f"id-{self.sent}"
@@ -45,7 +48,7 @@
             body=attempt.encode(),
             attempt=attempt,
             Prompt_Prefix=prefix,
-            Token_Usage="300,20",
+            Token_Usage=f"300,{output}",
             Model="m",
         )
 
@@ -80,6 +83,20 @@
         # Guards against one prompt part that crashes engine after engine, in requests that are all
         # different and come through all daemons.
         await self.start_fleet()
+        await self.assert_held_back()
+
+    async def test_a_part_that_crashes_engines_after_their_first_event_is_held_back(self):
+        # Guards against a part whose first event counts as proof that it is sound, so that it
+        # crashes engines for ever. review/7.
+        await self.start_fleet(crash_after_events=1)
+        await self.assert_held_back()
+
+    async def test_a_part_that_crashes_engines_after_some_events_is_held_back(self):
+        # Guards against the same one some events later.
+        await self.start_fleet(crash_after_events=4)
+        await self.assert_held_back()
+
+    async def assert_held_back(self):
         for _ in range(12):
             reply = await self.ask_with(FIRST, CALLER, CRASHING)
             await self.restart_crashed()
@@ -100,6 +117,16 @@
         self.assertEqual(reply.status, 502)
         self.assertEqual(self.crashes(), 2)
 
+    async def test_a_generation_that_crashed_two_engines_does_not_go_on_from_its_checkpoint(self):
+        # Guards against a generation that crashes, with one request, each engine that has the
+        # checkpoint of the engine before.
+        await self.start_fleet(crash_after_events=2, zones=("z1", "z1", "z1"))
+        for engine in self.engines:
+            engine.events, engine.event_interval_s = 100, 0.05
+        reply = await self.ask_with(FIRST, CALLER, CRASHING, output=3000)
+        self.assertFalse(reply.complete)
+        self.assertLessEqual(self.crashes(), 2)
+
     async def test_a_repaired_part_returns_to_service_at_every_daemon(self):
         # Guards against a part that stays held back after the engines were repaired: one request
         # tries it, and its answer counts for all daemons.
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -3,9 +3,11 @@
 import asyncio
 import re
 from math import isfinite
+from unittest import mock
 
 from standins.replica import Engine
 
+from lovageway.forwarding import streamproof
 from lovageway.forwarding.migration import LeavingRun
 from lovageway.forwarding.streams import HANDOVER_WAIT_S
 from tests.relayworld import BOUNDS, RelayCase, engine_service, route
@@ -302,6 +304,9 @@
     async def test_continuations_from_checkpoints_stay_within_the_retry_budget(self):
         # Guards against engines that break off what they run and get all of it again from copies,
         # beside the budget: the operator bounds all arrivals, whatever they are for.
+        # One event is proof here that a request crashes no engine, so only the budget ends them.
+        for name in ("PROOF_S", "PROOF_EVENTS"):
+            self.enterContext(mock.patch.object(streamproof, name, 0))
         engines = [Engine(f"i-{n}", events=60, event_interval_s=0.005) for n in (1, 2)]
         for engine in engines:
             engine.reset_after_events = 1
