Keep the end of an unframed answer open until its server is seen again

What callers would see: a part that crashes engines which answer without length or chunks is never held back.

Cause: a process that ends closes its connections, which is also the regular end of such an answer. So a crash between two events counted as a whole answer, and that as proof of health.

Change: openends keeps these answers, of calls too. They are whole once the server answers a request that was sent later; they count as crashes if it refuses connections, breaks another answer off, or has started again. Nothing is kept of leaving servers or of streams that have run for long enough.

--- a/src/lovageway/forwarding/attempt.py
+++ b/src/lovageway/forwarding/attempt.py
@@ -91,6 +91,8 @@
             if request.answer_time_s() > 0:
                 entry.on_unreachable(state.clock())
                 state.log("server_unreachable", id=attempt_id, server=entry.id)
+            if isinstance(exc, ConnectionRefusedError) and not entry.leaving:
+                state.on_server_lost(entry.token)
             raise NotSentError from exc
         if request.answer_time_s() <= 0:
             entry.sends.withdraw()
@@ -216,7 +218,14 @@
     complete = part.complete
     crashed = not complete and exchange.fault is None
     result = _classify_answer(
-        request, entry, head, bytes(body), began, complete=complete, crashed=crashed
+        request,
+        entry,
+        head,
+        bytes(body),
+        began,
+        complete=complete,
+        crashed=crashed,
+        ended_by_close=exchange.ended_by_close,
     )
     if result.outcome is Outcome.ANSWERED:
         observation.on_answer(state.clock())
@@ -244,6 +253,7 @@
     *,
     complete: bool,
     crashed: bool,
+    ended_by_close: bool,
 ) -> AttemptResult:
     """Return the result of an attempt and record it for the server and the request.
 
@@ -251,6 +261,8 @@
     ----------
     crashed
         Whether the server, rather than this daemon, ended an incomplete answer.
+    ended_by_close
+        Whether only the end of the connection ended a complete answer.
     """
     now = request.state.clock()
     if head is not None and head.not_run:
@@ -260,8 +272,8 @@
         if crashed and not entry.leaving:
             record_crash(request, entry)
         return AttemptResult(Outcome.BROKEN, head, b"")
-    request.state.poison.on_answer(request.traits, now)
     request.state.poison.on_server_answer(entry.token, began, now)
+    record_end(request, entry, now, ended_by_close=ended_by_close)
     if (
         head.status >= 500
         or head.status in NOT_RUN_STATUSES
@@ -273,15 +285,25 @@
     return AttemptResult(Outcome.ANSWERED, head, body)
 
 
+def record_end(request: Request, entry: Entry, now: float, *, ended_by_close: bool) -> None:
+    """Record for the request that its answer ended, as far as the connection shows."""
+    if ended_by_close and not (request.is_proven or entry.leaving):
+        request.state.poison.on_open_end(request.traits, entry.token, now)
+    else:
+        request.state.poison.on_answer(request.traits, now)
+
+
 def record_crash(request: Request, entry: Entry) -> None:
     """Record that a server ended before it answered a request.
 
     The other daemons hear of it at once if it may be a part that other requests share, else with
     the next heartbeat.
     """
-    request.state.poison.on_crash(request.traits, entry.token, request.state.clock())
+    state = request.state
+    state.poison.on_crash(request.traits, entry.token, state.clock())
     if any(trait.is_part for trait in request.traits):
-        request.state.announce_crash()
+        state.announce_crash()
+    state.on_server_lost(entry.token)
 
 
 def can_pass_on(head: AnswerHead | None) -> bool:
--- a/src/lovageway/forwarding/poison.py
+++ b/src/lovageway/forwarding/poison.py
@@ -31,6 +31,7 @@
     SAME_INCIDENT_S,
     CrashRecord,
 )
+from lovageway.forwarding.openends import OpenEnds
 from lovageway.forwarding.traits import Trait
 
 RETENTION_S = 900.0  # of a record after its last crash or answer
@@ -85,6 +86,7 @@
     def __init__(self) -> None:
         self._records: dict[bytes, CrashRecord] = {}
         self._answered: OrderedDict[bytes, float] = OrderedDict()  # last answers of shared parts
+        self._open_ends = OpenEnds()
         self._marks: dict[bytes, set[bytes]] = {}  # by server that crashed
         # By server that was thought to have crashed: when the latest request that it answered
         # was sent, and when this became known here.
@@ -119,8 +121,21 @@
         while len(self._answered) > MAX_ANSWERED:
             self._answered.popitem(last=False)
 
+    def on_open_end(self, traits: tuple[Trait, ...], server: bytes, now: float) -> None:
+        """Record an answer that ended with its connection, or with its server."""
+        self._open_ends.add(server, traits, now)
+
+    def on_server_lost(self, server: bytes, now: float) -> bool:
+        """Record that a server is gone; return whether it was in the middle of answers."""
+        ends = self._open_ends.take_cut_off(server, now)
+        for end in ends:
+            self.on_crash(end.traits, server, end.at)
+        return bool(ends)
+
     def on_server_answer(self, server: bytes, sent_at: float, now: float) -> None:
         """Remove the crashes of a server that answered a request sent after them."""
+        for end in self._open_ends.take_whole(server, sent_at):
+            self.on_answer(end.traits, end.at)
         found = [
             record
             for mark in self._marks.get(server, ())
@@ -242,6 +257,7 @@
 
     def forget(self, now: float) -> None:
         """Drop old records."""
+        self._open_ends.forget(now)
         for mark, record in list(self._records.items()):
             age = now - max(record.newest, record.trial_at)
             if mark in self._suspects:
--- a/src/lovageway/forwarding/rowhandler.py
+++ b/src/lovageway/forwarding/rowhandler.py
@@ -101,7 +101,10 @@
             except records.UnreadableRowError as exc:
                 self._report_unreadable(row, exc)
                 return
+            old = self._state.replicas.get(row.key)
             change = self._state.replicas.on_entry(replica, now)
+            if old is not None and old is not change.entry and not old.leaving:
+                self._state.on_server_lost(old.token)
         entry = self._state.replicas.get(row.key)
         if entry is not None:
             self._state.log(
--- a/src/lovageway/forwarding/state.py
+++ b/src/lovageway/forwarding/state.py
@@ -217,6 +217,11 @@
         others = set(self.cfg.regions_of_zones.values()) - {self.cfg.region}
         return others - self.load_tracker.regions(now).keys()
 
+    def on_server_lost(self, server: bytes) -> None:
+        """Record that a server ended; tell the other daemons if it did so within answers."""
+        if self.poison.on_server_lost(server, self.clock()):
+            self.announce_crash()
+
     def pump(self) -> None:
         """Retry the placement of waiting requests after capacity became free."""
         if len(self.admission_queue):
--- a/src/lovageway/forwarding/streams.py
+++ b/src/lovageway/forwarding/streams.py
@@ -16,6 +16,7 @@
     next_part,
     not_run_result,
     record_crash,
+    record_end,
     record_statement,
     send,
 )
@@ -308,7 +309,9 @@
                     complete = await self._is_whole(
                         self._end_facts(part.complete, splitter, exchange)
                     )
-                return self._classify(entry, head, bytes(body), splitter, complete, crashed)
+                return self._classify(
+                    entry, head, bytes(body), splitter, complete, crashed, exchange.ended_by_close
+                )
             if head is None:
                 continue
             if head.status != 200 or not is_authentic(head):
@@ -451,6 +454,7 @@
         splitter: EventSplitter,
         complete: bool,
         crashed: bool,
+        ended_by_close: bool = False,
     ) -> AttemptResult:
         """Return and record the result of an engine's answer; on success, complete the client's.
 
@@ -458,6 +462,8 @@
         ----------
         crashed
             Whether the engine, rather than this daemon, ended an incomplete answer.
+        ended_by_close
+            Whether only the end of the connection ended a complete answer.
         """
         now = self.state.clock()
         if head is not None and head.not_run:
@@ -477,7 +483,7 @@
             self.observation.on_pace(self.event_timing.mean_gap_s, now)
         self.state.poison.on_server_answer(entry.token, self.sent_at, now)
         if self.begun:
-            self._on_proven(now)
+            record_end(self.request, entry, now, ended_by_close=ended_by_close)
         entry.on_answer(now - self.request.started_at, now)
         if not self.started:
             self.client.answer(AttemptResult(Outcome.ANSWERED, head, splitter.rest))
--- a/tests/test_poison_parts.py
+++ b/tests/test_poison_parts.py
@@ -96,6 +96,14 @@
         await self.start_fleet(crash_after_events=4)
         await self.assert_held_back()
 
+    async def test_a_part_is_held_back_whose_cut_off_answers_look_whole(self):
+        # Guards against a part that crashes engines whose answers have neither a length nor chunks:
+        # the end of a process closes its connections as the end of an answer does. See review/7.
+        await self.start_fleet(crash_after_events=1)
+        for engine in self.engines:
+            engine.behaviour = "unframed"
+        await self.assert_held_back()
+
     async def assert_held_back(self):
         for _ in range(12):
             reply = await self.ask_with(FIRST, CALLER, CRASHING)
