Give up a stream that a stopping daemon accepted and that begins too late

What callers would see: a stream accepted late in a stop waits in an engine's own queue for longer than its route's target, begins, and is cut off by the end of the process.

Change: such a stream is given up when the rest of its longest output may no longer end in time. Its client gets 502, as the engine may still run it. Streams that came before the stop wait as before: they were not accepted on the promise that they end.

--- a/src/lovageway/forwarding/request.py
+++ b/src/lovageway/forwarding/request.py
@@ -11,7 +11,14 @@
 from lovageway.forwarding import placement, resend
 from lovageway.forwarding.admissionqueue import Need, Rank
 from lovageway.forwarding.connections import Inbound
-from lovageway.forwarding.model import Account, Repeat, RequestHead, Route, Service
+from lovageway.forwarding.model import (
+    Account,
+    Generation,
+    Repeat,
+    RequestHead,
+    Route,
+    Service,
+)
 from lovageway.forwarding.placement import Work
 from lovageway.forwarding.replicas import Entry
 from lovageway.forwarding.routes import pick_service
@@ -191,19 +198,38 @@
         return max(0.0, request.left_s())
     if generation is None:
         return EXPECTED_CALL_S
-    tokens_per_event, default_s = 1, placement.TOKEN_S
-    if request.service.engine is not None:
+    if repeat is not Repeat.STREAM:
+        return EXPECTED_CALL_S + _output_s(request, placement.expected_output(generation))
+    has_begun = request.event_timing is not None and request.event_timing.started
+    # Until its first event, a stream may wait in the queue of a sound engine.
+    first_s = 0.0 if has_begun else max(EXPECTED_CALL_S, request.route.target_s)
+    return first_s + _output_s(request, _tokens_left(request, generation))
+
+
+def longest_output_s(request: Request) -> float:
+    """Return how long the rest of a stream may take once it has begun, in seconds."""
+    generation = request.head.generation
+    if generation is None:
+        return max(0.0, request.left_s())
+    return _output_s(request, _tokens_left(request, generation))
+
+
+def _tokens_left(request: Request, generation: Generation) -> int:
+    """Return how many tokens of a stream may still come."""
+    timing, engine = request.event_timing, request.service.engine
+    events = timing.events if timing is not None else 0
+    tokens_per_event = max(1, engine.tokens_per_event) if engine is not None else 1
+    return max(0, generation.output_limit - events * tokens_per_event)
+
+
+def _output_s(request: Request, tokens: int) -> float:
+    """Return how long an output may take, in seconds."""
+    engine, default_s = request.service.engine, placement.TOKEN_S
+    if engine is not None:
         # A sound engine may take as long as the route's target allows between two events.
-        tokens_per_event = max(1, request.service.engine.tokens_per_event)
-        default_s = max(default_s, request.route.gap_s / tokens_per_event)
-    first_s, tokens = EXPECTED_CALL_S, placement.expected_output(generation)
-    if repeat is Repeat.STREAM:
-        events = request.event_timing.events if request.event_timing is not None else 0
-        tokens = max(0, generation.output_limit - events * tokens_per_event)
-        # It may also wait in the queue of a sound engine until its first event.
-        first_s = 0.0 if events else max(first_s, request.route.target_s)
+        default_s = max(default_s, request.route.gap_s / max(1, engine.tokens_per_event))
     state, name = request.state, request.service.name
-    return first_s + state.token_pace.longest_s(name, tokens, default_s, state.clock())
+    return state.token_pace.longest_s(name, tokens, default_s, state.clock())
 
 
 def refuse_if_leaving(request: Request) -> Refusal | None:
--- a/src/lovageway/forwarding/streams.py
+++ b/src/lovageway/forwarding/streams.py
@@ -29,7 +29,14 @@
 from lovageway.forwarding.model import AnswerHead
 from lovageway.forwarding.placement import expected_output
 from lovageway.forwarding.replicas import Entry
-from lovageway.forwarding.request import Refusal, Request, hold_back, place, risks_server
+from lovageway.forwarding.request import (
+    Refusal,
+    Request,
+    hold_back,
+    longest_output_s,
+    place,
+    risks_server,
+)
 from lovageway.forwarding.resend import Kind
 from lovageway.forwarding.rollout.observation import Observation
 from lovageway.forwarding.streamproof import StreamProof
@@ -398,11 +405,18 @@
         return task.done() and migrator.ended_before_stop
 
     def _stall_timeout_s(self) -> float:
-        """Return the time to wait for the next event; the first one may take until the deadline."""
-        left = self.request.answer_time_s()
+        """Return the time to wait for the next event; the first one may take until the deadline.
+
+        A stream that was accepted during a stop and has not begun is given up when the rest of it
+        may no longer end in time.
+        """
+        request, state = self.request, self.state
+        left, route = request.answer_time_s(), request.route
+        if not self.started and state.lifecycle.is_after_stop(request.inbound.arrived_at):
+            left = min(left, state.lifecycle.serving_left_s(state.clock()))
+            return left - longest_output_s(request)
         if not self.started:
             return left
-        route = self.request.route
         stall = max(MIN_STALL_S, STALL_TARGETS * route.target_s, STALL_GAPS * route.gap_s)
         return min(left, stall)
 
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -469,6 +469,22 @@
         engine.released.set()
         self.assertTrue((await running.reply()).complete)
 
+    async def test_a_stream_that_begins_too_late_in_a_stop_is_answered_before_it_is_cut(self):
+        # Guards against streams that wait in an engine's own queue, begin late in the grace period
+        # and are cut by the end of the process. review/10.
+        engine = Engine(events=2)
+        engine.behaviour = "hang"
+        await self.serve(engine, routes=[BRIEF_STREAM])
+        relay = self.relays[0]
+        relay.stop()
+        relay.state.lifecycle._leaving_at -= 3.1
+        began = relay._loop.time()
+        reply = await self.ask(Token_Usage="30,50")  # takes 2.25 s at most, once it has begun
+        self.assertEqual(reply.status, 502)
+        # 0.8 * 8 s of the grace period are for requests.
+        self.assertLess(relay._loop.time() - began, 6.4 - 3.1 - 2.25 + 0.5)
+        self.assertEqual(engine.executions, ["id-1"])
+
     async def test_a_generation_is_refused_during_a_stop_if_it_is_too_slow_to_end(self):
         # Guards against streams that are cut by the end of the process, since their engine is
         # slower than a fixed time for a token: 250 tokens at 20 ms take 5 s.
