--- a/soak/faults.py
+++ b/soak/faults.py
@@ -29,6 +29,7 @@
 ROLLOUT_WAIT_S = 4.0  # beyond it, for the status
 
 
+CRASH_AFTER_EVENTS = (1, 0, 4)  # of a stream with a part that crashes engines, in turn
 LIMITED = "limit "  # begins the kind of the fault, before the limit
 
 
@@ -309,7 +310,9 @@
             self.world.crashing_part = part
 
         seconds = self.rng.uniform(3.0, 8.0)
-        part = f"bad{self.world.next_server}"
+        number = self.world.next_server
+        part = f"bad{number}"
+        self.world.crash_after_events = CRASH_AFTER_EVENTS[number % len(CRASH_AFTER_EVENTS)]
         await self._apply_for(
             "crashing part", "part", seconds, lambda: set_part(part), lambda: set_part(None)
         )
--- a/soak/world.py
+++ b/soak/world.py
@@ -149,6 +149,7 @@
         self.extra_route = False
         self.next_server = 100
         self.crashing_part = None  # part of prompts with which requests end engines
+        self.crash_after_events = 0
 
     @property
     def servers(self):
@@ -270,6 +271,7 @@
         """Start the engines again that a request ended."""
         for engine in self.engines:
             engine.crashing_parts = {self.crashing_part} - {None}
+            engine.crash_after_events = self.crash_after_events
             if engine.crashed_at and time.monotonic() - engine.crashed_at > ENGINE_RESTART_S:
                 await engine.restart()
                 self.list_server(engine)
