Bound the answers that are kept open as a whole, and keep the newest answer of a part

Cause: of each of 1024 servers 32 answers could be kept, with 65 traits each: by reading, hundreds of MB if clients choose long prompts and servers send unframed answers. An answer that turns out whole late could also move the time of a part's last answer back.

Change: 512 answers in all, 32 of a server; the time of the last answer only rises.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -23,13 +23,12 @@
 MISBEHAVE_WEIGHT = 8
 DRAIN_S = 1.5  # a server still serves for this long after announcing its shutdown
 RESTART_DELAY_S = 0.4
+CRASH_AFTER_EVENTS = (1, 0, 4)  # of a stream with a part that crashes engines, in turn
 LIMITS_PER_S = (0, 0.2, 1, 3)  # that servers name
 BACK_OFF_S = 1.0  # that refusals ask for
 ROLLOUT_S = 8.0  # time that an order allows
 ROLLOUT_WAIT_S = 4.0  # beyond it, for the status
 
-
-CRASH_AFTER_EVENTS = (1, 0, 4)  # of a stream with a part that crashes engines, in turn
 LIMITED = "limit "  # begins the kind of the fault, before the limit
 
 
--- a/src/lovageway/forwarding/openends.py
+++ b/src/lovageway/forwarding/openends.py
@@ -13,8 +13,8 @@
 
 from lovageway.forwarding.traits import Trait
 
-MAX_SERVERS = 1024
-MAX_ENDS = 32  # of one server; more answers of the same moment add no evidence
+MAX_ENDS = 512  # in all: a request has up to 65 traits
+MAX_ENDS_OF_SERVER = 32
 MAX_AGE_S = 10.0  # nothing else was seen of the server; what then ends it had another cause
 
 
@@ -30,31 +30,40 @@
 
     def __init__(self) -> None:
         self._ends: OrderedDict[bytes, list[OpenEnd]] = OrderedDict()
+        self._count = 0
 
     def add(self, server: bytes, traits: tuple[Trait, ...], now: float) -> None:
         """Record an answer; of too many, those of the oldest server are dropped."""
         ends = self._ends.setdefault(server, [])
-        if len(ends) < MAX_ENDS:
+        if len(ends) < MAX_ENDS_OF_SERVER:
             ends.append(OpenEnd(traits, now))
-        if len(self._ends) > MAX_SERVERS:
-            self._ends.popitem(last=False)
+            self._count += 1
+        if self._count > MAX_ENDS:
+            _, dropped = self._ends.popitem(last=False)
+            self._count -= len(dropped)
 
     def take_whole(self, server: bytes, sent_at: float) -> list[OpenEnd]:
         """Remove and return the answers before a request that the server answered."""
-        ends = self._ends.pop(server, None)
-        if not ends:
+        ends = self._ends.get(server)
+        if not ends or ends[0].at >= sent_at:
             return []
-        later = [end for end in ends if end.at >= sent_at]
-        if later:
-            self._ends[server] = later
+        self._take(server)
+        for end in ends:
+            if end.at >= sent_at:
+                self.add(server, end.traits, end.at)
         return [end for end in ends if end.at < sent_at]
 
     def take_cut_off(self, server: bytes, now: float) -> list[OpenEnd]:
         """Remove and return the answers that the end of a server may have cut off."""
-        return [end for end in self._ends.pop(server, []) if now - end.at <= MAX_AGE_S]
+        return [end for end in self._take(server) if now - end.at <= MAX_AGE_S]
 
     def forget(self, now: float) -> None:
         """Drop the answers of servers of which nothing else was seen."""
         for server, ends in list(self._ends.items()):
             if now - ends[-1].at > MAX_AGE_S:
-                del self._ends[server]
+                self._take(server)
+
+    def _take(self, server: bytes) -> list[OpenEnd]:
+        ends = self._ends.pop(server, [])
+        self._count -= len(ends)
+        return ends
--- a/src/lovageway/forwarding/poison.py
+++ b/src/lovageway/forwarding/poison.py
@@ -116,7 +116,7 @@
             if record is not None:
                 self._is_stale |= record.answer(now, now)
             if is_part:
-                self._answered[mark] = now
+                self._answered[mark] = max(now, self._answered.get(mark, now))
                 self._answered.move_to_end(mark)
         while len(self._answered) > MAX_ANSWERED:
             self._answered.popitem(last=False)
--- a/tests/test_openends.py
+++ b/tests/test_openends.py
@@ -3,7 +3,7 @@
 import unittest
 
 from lovageway.forwarding.crashrecord import MIN_CRASHES
-from lovageway.forwarding.openends import MAX_AGE_S, MAX_ENDS, MAX_SERVERS, OpenEnds
+from lovageway.forwarding.openends import MAX_AGE_S, MAX_ENDS, MAX_ENDS_OF_SERVER, OpenEnds
 from lovageway.forwarding.poison import PoisonDetector
 from lovageway.forwarding.traits import part_traits, server_token
 
@@ -44,11 +44,23 @@
     def test_answers_are_limited_and_forgotten(self):
         # Guards against memory that grows with the answers of servers that nobody asks again.
         ends = OpenEnds()
-        for number in range(2 * MAX_ENDS):
+        for number in range(2 * MAX_ENDS_OF_SERVER):
             ends.add(SERVERS[0], PART, number / 100)
-        self.assertEqual(len(ends.take_whole(SERVERS[0], 10.0)), MAX_ENDS)
-        for number in range(MAX_SERVERS + 1):
-            ends.add(server_token("i", number), PART, 0.0)
-        self.assertEqual(ends.take_whole(server_token("i", 0), 1.0), [])
+        self.assertEqual(len(ends.take_whole(SERVERS[0], 10.0)), MAX_ENDS_OF_SERVER)
+        servers = [server_token("i", number) for number in range(MAX_ENDS + 1)]
+        for _ in range(3):  # a count that goes wrong would show
+            for server in servers:
+                ends.add(server, PART, 0.0)
+            found = [end for server in servers for end in ends.take_whole(server, 1.0)]
+            self.assertEqual(len(found), MAX_ENDS)
+        ends.add(SERVERS[0], PART, 0.0)
         ends.forget(MAX_AGE_S + 1.0)
-        self.assertEqual(ends.take_whole(server_token("i", 1), 1.0), [])
+        self.assertEqual(ends.take_cut_off(SERVERS[0], MAX_AGE_S), [])
+
+    def test_an_answer_after_a_later_request_was_sent_stays_open(self):
+        # Guards against an answer that is taken for whole by one to a request sent before its end.
+        ends = OpenEnds()
+        for at in (1.0, 2.0, 3.0):
+            ends.add(SERVERS[0], PART, at)
+        self.assertEqual([end.at for end in ends.take_whole(SERVERS[0], 2.5)], [1.0, 2.0])
+        self.assertEqual([end.at for end in ends.take_cut_off(SERVERS[0], 4.0)], [3.0])
