Test with daemons that streams on killed engines are not held back

No fault is known; it guards the evidence of streamproof against counting what a server's end cut off.

--- a/tests/test_poison_parts.py
+++ b/tests/test_poison_parts.py
@@ -125,6 +125,34 @@
         self.assertEqual(reply.status, 502)
         self.assertEqual(self.crashes(), 2)
 
+    async def test_streams_on_engines_that_are_killed_are_not_held_back(self):
+        # Guards against sound streams that are held back since the engines that ran them, with many
+        # others that share their parts, were killed one after another or all at once.
+        await self.start_fleet()
+        for engine in self.engines:
+            engine.events, engine.event_interval_s = 30, 0.02
+        running = []
+
+        async def send_for(seconds):
+            for _ in range(round(seconds / 0.05)):
+                running.append(asyncio.create_task(self.ask_with(FIRST, CALLER)))
+                await asyncio.sleep(0.05)
+
+        await send_for(0.6)
+        for number in range(16):
+            fullest = self.engines[number % ENGINES]
+            for engine in self.engines if number % 8 == 7 else [fullest]:
+                engine.crash()
+            await send_for(0.2)
+            await self.restart_crashed()
+            await send_for(0.2)
+        replies = await asyncio.gather(*running, return_exceptions=True)
+        self.assertEqual([relay.log.of("held_back") for relay in self.relays], [[]] * self.daemons)
+        cut = sum(isinstance(reply, Exception) or not reply.complete for reply in replies)
+        self.assertGreater(cut, 10)
+        later = [await self.ask_with(FIRST, CALLER) for _ in range(self.daemons)]
+        self.assertTrue(all(reply.complete and reply.status == 200 for reply in later))
+
     async def test_a_generation_that_crashed_two_engines_does_not_go_on_from_its_checkpoint(self):
         # Guards against a generation that crashes, with one request, each engine that has the
         # checkpoint of the engine before.
