Pause between the connections by which a stream is resumed

Cause: up to four further connections were tried without a pause, a few milliseconds together. The test's proxy cuts and passes again in two steps, between which its thread can be held up for longer.

Change: pauses of 0, 0.1, 0.2 and 0.4 s before them.

--- a/src/lovageway/exchange.py
+++ b/src/lovageway/exchange.py
@@ -30,7 +30,8 @@
 from lovageway.runtime import Runtime
 from lovageway.timing import StreamTiming, Timing
 
-MAX_RECONNECTS = 3  # consecutive connections of a stream without a token
+# Pauses before the connections of a stream that follow each other without a token.
+RECONNECT_DELAYS_S = (0.0, 0.1, 0.2, 0.4)
 REPORT_TOKENS = 32  # an event per token would acquire the node's lock 14,000 times a second
 REPORT_INTERVAL_S = 0.5
 PRIORITIES = {"interactive": 0, "batch": 10}
@@ -317,13 +318,14 @@
                 raise BackendError("lost", "stream ended early", generation.start_id)
             except BackendError as exc:
                 failures += 1
-                if exc.failure in ("gone", "error") or failures > MAX_RECONNECTS:
+                if exc.failure in ("gone", "error") or failures > len(RECONNECT_DELAYS_S):
                     raise
             finally:
                 if stream is not None:
                     stream.close()
             stream = None
             await deliver(Reconnecting())
+            await asyncio.sleep(RECONNECT_DELAYS_S[failures - 1])
 
     async def _reconnect(self, generation: _Generation, position: int) -> TokenStream:
         try:
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -3,6 +3,7 @@
 import json
 import signal
 import threading
+import time
 import unittest
 
 from standins.fleet import Fleet, http, wait_for
@@ -12,6 +13,7 @@
 from tests.builders import contract_row, jar_returns_rows
 
 ZONE = "khangai"
+AWAY_S = 0.3  # of the link
 
 
 class Exchange(unittest.TestCase):
@@ -62,6 +64,16 @@
             self.proxies["crock-0"].drop_connections()
         self.assert_complete(stream.read(), 200)
 
+    def test_a_stream_is_resumed_after_its_link_was_away_for_a_moment(self):
+        # Guards against a stream that is given up within milliseconds, after as many connections as
+        # it may try, while the link to its engine is away for a moment.
+        (address,) = self.start()
+        stream = self.ask(address, 200).read(40)
+        self.proxies["crock-0"].set_mode("cut")
+        time.sleep(AWAY_S)
+        self.proxies["crock-0"].set_mode("pass")
+        self.assert_complete(stream.read(), 200)
+
     def test_a_frozen_link_is_replaced_after_the_idle_timeout(self):
         # Guards against a stream that hangs while its connection is open but transfers nothing.
         (address,) = self.start()
