Use plainer names for unconfirmed ends and the order of crash news

Cause: openends, told_at, _telling_order and is_after_stop said little to a newcomer. Change: unconfirmedends, published_at, _publish_order, is_during_stop; names and text only.

--- a/src/lovageway/forwarding/attempt.py
+++ b/src/lovageway/forwarding/attempt.py
@@ -288,7 +288,7 @@
 def record_end(request: Request, entry: Entry, now: float, *, ended_by_close: bool) -> None:
     """Record for the request that its answer ended, as far as the connection shows."""
     if ended_by_close and not (request.is_proven or entry.leaving):
-        request.state.poison.on_open_end(request.traits, entry.token, now)
+        request.state.poison.on_unconfirmed_end(request.traits, entry.token, now)
     else:
         request.state.poison.on_answer(request.traits, now)
 
--- a/src/lovageway/forwarding/crashrecord.py
+++ b/src/lovageway/forwarding/crashrecord.py
@@ -28,7 +28,7 @@
         self.confirmed = False
         self.stored_at: float | None = None  # since when the store is known to have a row of it
         self.changed_at = now
-        self.told_at = float("-inf")  # when the other daemons were last sent it
+        self.published_at = float("-inf")  # when the other daemons were last sent it
         self.is_part = False  # of prompts, as far as this daemon knows
 
     @property
--- a/src/lovageway/forwarding/lifecycle.py
+++ b/src/lovageway/forwarding/lifecycle.py
@@ -49,7 +49,7 @@
         """Return whether a request of an expected duration can end before the process does."""
         return expected_s < self.serving_left_s(now)
 
-    def is_after_stop(self, at: float) -> bool:
+    def is_during_stop(self, at: float) -> bool:
         """Return whether a time lies within a planned stop."""
         return self._leaving_at is not None and at >= self._leaving_at
 
--- a/src/lovageway/forwarding/poison.py
+++ b/src/lovageway/forwarding/poison.py
@@ -31,8 +31,8 @@
     SAME_INCIDENT_S,
     CrashRecord,
 )
-from lovageway.forwarding.openends import OpenEnds
 from lovageway.forwarding.traits import Trait
+from lovageway.forwarding.unconfirmedends import UnconfirmedEnds
 
 RETENTION_S = 900.0  # of a record after its last crash or answer
 SUSPECT_RETENTION_S = 86400.0
@@ -86,7 +86,7 @@
     def __init__(self) -> None:
         self._records: dict[bytes, CrashRecord] = {}
         self._answered: OrderedDict[bytes, float] = OrderedDict()  # last answers of shared parts
-        self._open_ends = OpenEnds()
+        self._unconfirmed_ends = UnconfirmedEnds()
         self._marks: dict[bytes, set[bytes]] = {}  # by server that crashed
         # By server that was thought to have crashed: when the latest request that it answered
         # was sent, and when this became known here.
@@ -121,20 +121,20 @@
         while len(self._answered) > MAX_ANSWERED:
             self._answered.popitem(last=False)
 
-    def on_open_end(self, traits: tuple[Trait, ...], server: bytes, now: float) -> None:
+    def on_unconfirmed_end(self, traits: tuple[Trait, ...], server: bytes, now: float) -> None:
         """Record an answer that ended with its connection, or with its server."""
-        self._open_ends.add(server, traits, now)
+        self._unconfirmed_ends.add(server, traits, now)
 
     def on_server_lost(self, server: bytes, now: float) -> bool:
         """Record that a server is gone; return whether it was in the middle of answers."""
-        ends = self._open_ends.take_cut_off(server, now)
+        ends = self._unconfirmed_ends.take_cut_off(server, now)
         for end in ends:
             self.on_crash(end.traits, server, end.at)
         return bool(ends)
 
     def on_server_answer(self, server: bytes, sent_at: float, now: float) -> None:
         """Remove the crashes of a server that answered a request sent after them."""
-        for end in self._open_ends.take_whole(server, sent_at):
+        for end in self._unconfirmed_ends.take_whole(server, sent_at):
             self.on_answer(end.traits, end.at)
         found = [
             record
@@ -257,7 +257,7 @@
 
     def forget(self, now: float) -> None:
         """Drop old records."""
-        self._open_ends.forget(now)
+        self._unconfirmed_ends.forget(now)
         for mark, record in list(self._records.items()):
             age = now - max(record.newest, record.trial_at)
             if mark in self._suspects:
@@ -380,7 +380,7 @@
         """
         self._refresh()
         changed = [m for m, r in self._records.items() if now - r.changed_at < NEWS_S]
-        changed.sort(key=self._telling_order)
+        changed.sort(key=self._publish_order)
         chosen = dict.fromkeys(changed[:MAX_SUSPECTS_PER_MESSAGE])
         if repeat:
             self._repeats = self._repeats or list(self._suspects)
@@ -390,7 +390,7 @@
         for mark in chosen:
             record = self._records.get(mark)
             if record is not None:
-                record.told_at = now
+                record.published_at = now
                 suspects.append(self._suspect(mark, record, now))
         alive = [
             (server, int(1000 * (now - sent_at)))
@@ -399,15 +399,15 @@
         ][-MAX_SUSPECTS_PER_MESSAGE:]
         return News(suspects, alive) if suspects or alive else None
 
-    def _telling_order(self, mark: bytes) -> tuple[bool, int, float, bool]:
-        """Return the place of a changed record in the order in which the others are sent it.
+    def _publish_order(self, mark: bytes) -> tuple[bool, int, float, bool]:
+        """Return the sort key of a changed record among those to send to the other daemons.
 
         A server that ends with many streams changes more records than a message holds. Those with
         more crashes go first, then those that were not sent lately; parts are few and shared.
         """
         record = self._records[mark]
         is_suspect = mark in self._suspects
-        return not is_suspect, -len(record.crashes), record.told_at, not record.is_part
+        return not is_suspect, -len(record.crashes), record.published_at, not record.is_part
 
     @staticmethod
     def _suspect(mark: bytes, record: CrashRecord, now: float) -> Suspect:
--- a/src/lovageway/forwarding/streams.py
+++ b/src/lovageway/forwarding/streams.py
@@ -412,7 +412,7 @@
         """
         request, state = self.request, self.state
         left, route = request.answer_time_s(), request.route
-        if not self.started and state.lifecycle.is_after_stop(request.inbound.arrived_at):
+        if not self.started and state.lifecycle.is_during_stop(request.inbound.arrived_at):
             left = min(left, state.lifecycle.serving_left_s(state.clock()))
             return left - longest_output_s(request)
         if not self.started:
--- a/src/lovageway/forwarding/openends.py
+++ b/src/lovageway/forwarding/unconfirmedends.py
@@ -18,31 +18,31 @@
 MAX_AGE_S = 10.0  # nothing else was seen of the server; what then ends it had another cause
 
 
-class OpenEnd(NamedTuple):
+class UnconfirmedEnd(NamedTuple):
     """An answer that ended with its connection."""
 
     traits: tuple[Trait, ...]
     at: float
 
 
-class OpenEnds:
+class UnconfirmedEnds:
     """The answers that ended with their connections, by server."""
 
     def __init__(self) -> None:
-        self._ends: OrderedDict[bytes, list[OpenEnd]] = OrderedDict()
+        self._ends: OrderedDict[bytes, list[UnconfirmedEnd]] = OrderedDict()
         self._count = 0
 
     def add(self, server: bytes, traits: tuple[Trait, ...], now: float) -> None:
         """Record an answer; of too many, those of the oldest server are dropped."""
         ends = self._ends.setdefault(server, [])
         if len(ends) < MAX_ENDS_OF_SERVER:
-            ends.append(OpenEnd(traits, now))
+            ends.append(UnconfirmedEnd(traits, now))
             self._count += 1
         if self._count > MAX_ENDS:
             _, dropped = self._ends.popitem(last=False)
             self._count -= len(dropped)
 
-    def take_whole(self, server: bytes, sent_at: float) -> list[OpenEnd]:
+    def take_whole(self, server: bytes, sent_at: float) -> list[UnconfirmedEnd]:
         """Remove and return the answers before a request that the server answered."""
         ends = self._ends.get(server)
         if not ends or ends[0].at >= sent_at:
@@ -53,7 +53,7 @@
                 self.add(server, end.traits, end.at)
         return [end for end in ends if end.at < sent_at]
 
-    def take_cut_off(self, server: bytes, now: float) -> list[OpenEnd]:
+    def take_cut_off(self, server: bytes, now: float) -> list[UnconfirmedEnd]:
         """Remove and return the answers that the end of a server may have cut off."""
         return [end for end in self._take(server) if now - end.at <= MAX_AGE_S]
 
@@ -63,7 +63,7 @@
             if now - ends[-1].at > MAX_AGE_S:
                 self._take(server)
 
-    def _take(self, server: bytes) -> list[OpenEnd]:
+    def _take(self, server: bytes) -> list[UnconfirmedEnd]:
         ends = self._ends.pop(server, [])
         self._count -= len(ends)
         return ends
--- a/tests/test_openends.py
+++ b/tests/test_unconfirmedends.py
@@ -3,9 +3,14 @@
 import unittest
 
 from lovageway.forwarding.crashrecord import MIN_CRASHES
-from lovageway.forwarding.openends import MAX_AGE_S, MAX_ENDS, MAX_ENDS_OF_SERVER, OpenEnds
 from lovageway.forwarding.poison import PoisonDetector
 from lovageway.forwarding.traits import part_traits, server_token
+from lovageway.forwarding.unconfirmedends import (
+    MAX_AGE_S,
+    MAX_ENDS,
+    MAX_ENDS_OF_SERVER,
+    UnconfirmedEnds,
+)
 
 PART = part_traits("llm", ["crashing"])
 SERVERS = [server_token(f"i-{number}", 1) for number in range(MIN_CRASHES)]
@@ -15,7 +20,7 @@
     def setUp(self):
         self.detector = PoisonDetector()
         for number, server in enumerate(SERVERS):
-            self.detector.on_open_end(PART, server, float(number))
+            self.detector.on_unconfirmed_end(PART, server, float(number))
 
     def test_an_answer_counts_as_a_crash_once_its_server_is_lost(self):
         # Guards against cut off answers that count as whole.
@@ -43,7 +48,7 @@
 class Bounds(unittest.TestCase):
     def test_answers_are_limited_and_forgotten(self):
         # Guards against memory that grows with the answers of servers that nobody asks again.
-        ends = OpenEnds()
+        ends = UnconfirmedEnds()
         for number in range(2 * MAX_ENDS_OF_SERVER):
             ends.add(SERVERS[0], PART, number / 100)
         self.assertEqual(len(ends.take_whole(SERVERS[0], 10.0)), MAX_ENDS_OF_SERVER)
@@ -57,9 +62,9 @@
         ends.forget(MAX_AGE_S + 1.0)
         self.assertEqual(ends.take_cut_off(SERVERS[0], MAX_AGE_S), [])
 
-    def test_an_answer_after_a_later_request_was_sent_stays_open(self):
+    def test_an_answer_after_a_later_request_was_sent_stays_unconfirmed(self):
         # Guards against an answer that is taken for whole by one to a request sent before its end.
-        ends = OpenEnds()
+        ends = UnconfirmedEnds()
         for at in (1.0, 2.0, 3.0):
             ends.add(SERVERS[0], PART, at)
         self.assertEqual([end.at for end in ends.take_whole(SERVERS[0], 2.5)], [1.0, 2.0])
