Give the reader of an 8 s stream more than 10 s

Cause: tests.test_leaving.Generations.test_an_engine_is_asked_while_the_store_is_away reads a stream of 400 events, 20 ms apart, with the usual timeout of one event, 10 s.

Change: this reader waits 30 s. The checks of the test are as before. A shorter stream was tried and taken back: the generation ended before its engine was asked.

--- a/standins/caller.py
+++ b/standins/caller.py
@@ -54,8 +54,8 @@
         self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
         await self.writer.drain()
 
-    async def reply(self):
-        async with asyncio.timeout(WAIT_S):
+    async def reply(self, wait_s=WAIT_S):
+        async with asyncio.timeout(wait_s):
             return await self._reply()
 
     async def _reply(self):
--- a/tests/relayworld.py
+++ b/tests/relayworld.py
@@ -147,10 +147,10 @@
         self.addCleanup(client.close)
         return client
 
-    async def ask(self, number=0, **fields):
+    async def ask(self, number=0, wait_s=WAIT_S, **fields):
         client = await self.client(number)
         await client.send(**fields)
-        return await client.reply()
+        return await client.reply(wait_s)
 
     async def until(self, condition):
         """Wait until a condition holds."""
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from standins.caller import WAIT_S
 from standins.replica import Engine, Replica
 
 from lovageway.forwarding.model import ServerLoad
@@ -64,7 +65,9 @@
         for engine in engines:
             engine.event_interval_s = 0.02
         await self.serve(*engines, routes=[STREAM], services=NO_COPIES)
-        asked = asyncio.create_task(self.ask(method="POST", target="/a/x", body=b"p", **LONG))
+        # The stream takes 8 s by itself.
+        ask = self.ask(method="POST", target="/a/x", body=b"p", wait_s=3 * WAIT_S, **LONG)
+        asked = asyncio.create_task(ask)
         await self.until(lambda: any(engine.generated_events for engine in engines))
         source = next(engine for engine in engines if engine.generated_events)
         self.store.mode = "reset"
