--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,4 +1,5 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")" || exit 2
+python3 -c 'import sys; sys.path.insert(0, "../lib-3"); import world' || exit 2
 exec python3 case.py
--- /dev/null
+++ b/review/more-3/plain_stream_on_leaving_engine.py
@@ -0,0 +1,141 @@
+"""Streams without Token-Usage run on engines that say in their answers that they leave."""
+
+import asyncio
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib-3"))
+
+from world import ENGINE, HOST, TROUBLE, World, new_id, route, run, service  # noqa: E402
+
+from standins.replica import Engine  # noqa: E402
+
+KEY = "key-1"
+ENGINES = 12
+CLIENTS = 4  # ordinary ones at each daemon
+
+
+class LeavingEngine(Engine):
+    def __init__(self, name, world):
+        super().__init__(name, zone="z1", events=10, event_interval_s=0.02)
+        self.world = world
+
+    async def run(self, request, attempt, writer):
+        self.world.reached[attempt] = self.name
+        return await super().run(request, attempt, writer)
+
+
+def head(attempt, usage):
+    headers = {
+        "Attempt-Id": attempt,
+        "Deadline-Ms": "39000",
+        "Authorization": f"Bearer {KEY}",
+        "Model": "m",
+    }
+    if usage:
+        headers["Token-Usage"] = "300,40"
+        headers["Prompt-Prefix"] = f"5c1e07a2:100,{attempt[:8]}:200"
+    path = "/tags/1" if usage else "/notes/1"
+    lines = [f"POST {path} HTTP/1.1", f"Host: {HOST}", "Content-Length: 3"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    return "\r\n".join(lines).encode() + b"\r\n\r\nabc"
+
+
+async def main():
+    async with World(__file__) as world:
+        rec = world.rec
+        world.reached, world.lost = {}, {}
+        engines = []
+        for number in range(ENGINES):
+            engines.append(await world.add_server(LeavingEngine(f"e-{number}", world)))
+        world.put_config(
+            {
+                "version": 10,
+                "routes": [
+                    route(
+                        "tags",
+                        "streaming",
+                        "llm",
+                        timeout_ms=39000,
+                        target_latency_ms=1500,
+                        sticky_sessions=True,
+                    ),
+                    route("notes", "streaming", "llm", timeout_ms=39000, target_latency_ms=1500),
+                ],
+                "services": [service("llm", cold_start_s=1.0, cold_per_s=26.0, engine=ENGINE)],
+                "tenants": [{"name": "acc", "api_keys": [KEY], "priority": 1}],
+            }
+        )
+        await world.add_daemons(2)
+
+        async def plain(daemon):
+            while True:
+                reader, writer = await asyncio.open_connection(daemon.host, daemon.port)
+                writer.write(head(new_id(), False))
+                await reader.read()
+                writer.close()
+
+        async def ordinary(daemon):
+            reader = writer = None
+            while True:
+                if writer is None:
+                    reader, writer = await asyncio.open_connection(daemon.host, daemon.port)
+                attempt, status, end = new_id(), 0, "none"
+                try:
+                    writer.write(head(attempt, True))
+                    status = int((await reader.readline()).split(b" ")[1])
+                    while line := await reader.readline():
+                        if line.startswith(b"Content-Length"):
+                            end = "refused"
+                            break
+                        if line == b"0\r\n":
+                            await reader.readline()
+                            end = "whole"
+                            break
+                except (OSError, IndexError):
+                    pass
+                rec.line(
+                    "stream",
+                    id=attempt,
+                    daemon=daemon.name,
+                    status=status,
+                    end=end,
+                    ran=world.reached.get(attempt),
+                )
+                if status == 0 and attempt in world.reached:
+                    world.lost[daemon.name] = world.lost.get(daemon.name, 0) + 1
+                if end != "whole":
+                    writer.close()
+                    writer = None
+                await asyncio.sleep(0.05)
+
+        # One stream without Token-Usage, or more, runs on each engine for each daemon.
+        if TROUBLE:
+            for engine in engines:
+                engine.events = 2000
+            for daemon in world.daemons:
+                for _ in range(2 * ENGINES):
+                    world.spawn(plain(daemon))
+            await asyncio.sleep(1.0)
+            for engine in engines:
+                engine.events = 10
+            await asyncio.sleep(1.0)
+        for daemon in world.daemons:
+            for _ in range(CLIENTS):
+                world.spawn(ordinary(daemon))
+        await asyncio.sleep(3.0)
+        for engine in engines[:9]:
+            engine.says_leaving = True
+            rec.line("leaves", engine=engine.name)
+            await asyncio.sleep(1.0)
+            engine.listed = None
+            world.store.put("servers", engine.name, None)
+            await asyncio.sleep(1.0)
+        rec.say(
+            f"requests passed on to a sound engine whose connection was closed without an answer, "
+            f"by daemon: {world.lost}"
+        )
+        return any(n > 3 for n in world.lost.values())
+
+
+run(main)
